Close client connections on which no whole request comes in time

Cause: a peer that connects and sends nothing, or never the end of a request, held its place among the sessions for good. By 16 s they held 247 of 240 + 24 places, and every proper client was refused and closed, so it came back on a new socket.

Ruled out: too few upstreams or the module's limits (at 5 s the same load is served at 99%, and a refused request shows no attempt); CPU (0.3 of 0.5 cores used while all is refused, by /proc); descriptors leaked by the node (strace shows each close, and the silent ones are still open at their peer by ss).

--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -55,6 +55,8 @@
     private static final double KEPT_PART = 0.5;
     /** So many clients beyond the limit are let in to be refused; with more, upstreams lacked descriptors. */
     private static final int REFUSED_AT_ONCE = 24;
+    /** How long a request may take to come whole. Peers that send none are owed an end within 3 s. */
+    private static final long REQUEST_MS = 2_000;
     /** At a planned stop idle connections are closed one by one, this far apart. */
     private static final long BETWEEN_CLOSES_MS = 1;
 
@@ -84,8 +86,10 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpServerKeepAliveHandler(),
-                                new HttpObjectAggregator(Upstreams.MAX_BODY), new Session(channel));
+                        Session session = new Session(channel);
+                        channel.pipeline().addLast(session.deadline, new HttpServerCodec(),
+                                new HttpServerKeepAliveHandler(),
+                                new HttpObjectAggregator(Upstreams.MAX_BODY), session);
                     }
                 }).bind(address).sync().channel();
     }
@@ -131,6 +135,7 @@
     private final class Session extends SimpleChannelInboundHandler<FullHttpRequest>
             implements Driver.Client {
         private final Channel channel;
+        private final RequestDeadline deadline = new RequestDeadline(REQUEST_MS, this::requestOverdue);
         private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
         private String current;
         /** Came when all connections were taken. Those that came before are served all the same. */
@@ -173,7 +178,15 @@
             finishIfDrained();
         }
 
+        /** A request that is still whole in our hands is answered first. A plain close is safe to cross. */
+        private void requestOverdue() {
+            if (!busy) {
+                close();
+            }
+        }
+
         @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
+            deadline.met();
             if (busy) {
                 waiting.add(message);
                 channel.config().setAutoRead(waiting.size() < MAX_PIPELINED);
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import yewyoke.node.Sockets.Client;
 import yewyoke.node.Sockets.Message;
 import yewyoke.node.Sockets.Script;
@@ -397,6 +398,23 @@
         assertTrue(status == 200 || status == 503, "served or refused, by how many have left by then");
     }
 
+    /** They held their descriptors for good, until every other client was refused. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "GET /look?key=k1 HT",
+        "POST /submit?key=k1 HTTP/1.1\r\nContent-Length: 9\r\n\r\nb"})
+    void connectionOnWhichNoWholeRequestComesIsClosed(String part) throws Exception {
+        start(server(SERVE));
+        assertNull(client().write(part).read());
+    }
+
+    @Test
+    void connectionOnWhichALaterRequestStaysCutIsClosed() throws Exception {
+        start(server(SERVE));
+        Client client = client();
+        assertEquals(200, client.write(submit()).read().status());
+        assertNull(client.write("POST /submit").read());
+    }
+
     /** To close a connection that looks idle crosses with the next request on it; so the answer says it. */
     @Test
     void connectionsBeyondThoseKeptCloseWithTheirAnswerAndIdleOnesStay() throws Exception {
