Reject upstream answers that have a header line without a colon

Cause: the HTTP library splits a response's header line at a blank as well as at a colon, so "no colon here" became a name without a value and the answer went to the client as served. The decoder now wants the colon.

Ruled out, each seen in the trace to be retried already: a bad status line, doubled or negative lengths, bad chunks, oversized headers, 3 GB lengths.

A second cause remains.

--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -12,8 +12,8 @@
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.io.IOException;
@@ -57,7 +57,8 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_BODY));
+                        channel.pipeline().addLast(new HttpRequestEncoder(), new AnswerDecoder(),
+                                new HttpObjectAggregator(MAX_BODY));
                     }
                 });
         loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -301,6 +301,27 @@
         assertEquals(1, upstream.requests.size());
     }
 
+    /** What can't be read as the protocol has it was made by no upstream, and may have run. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK|no colon here|Content-Length: 4||done",
+        "HTTP/1.1 200 OK|: nameless|Content-Length: 4||done",
+        "HTTP/1.1 200 OK|Content-Length : 4||done", "HTTP/1.1 200 OK|nocolon|Content-Length: 4||done",
+        "HTTP/1.1 2x0 OK|Content-Length: 4||done", "HTTP/1.1 OK 200|Content-Length: 4||done",
+        "HTTP/1.1 200 OK|Content-Length: 3|Content-Length: 4||done",
+        "HTTP/1.1 200 OK|Content-Length: -1|Content-Length: 4||done",
+        "HTTP/1.1 200 OK|Content-Length: 4|Transfer-Encoding: chunked||4|done|0||",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||4|done|zz|done|0||",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||4|doneXX0||",
+        "HTTP/1.1 200 OK|Content-Length: 3000000000||done"})
+    void answerThatCannotBeReadIsNotPassedOn(String answer) throws Exception {
+        Script broken = (m, s) -> s.getOutputStream().write(answer.replace("|", "\r\n").getBytes("UTF-8"));
+        Server one = server(broken);
+        Server two = server(broken);
+        start(one, two);
+        assertFailed(client().write(submit()).read());
+        assertEquals(1, one.requests.size() + two.requests.size());
+    }
+
     private static void assertFailed(Message answer) {
         assertTrue(answer.status() >= 500, answer.start());
         assertNotEquals(503, answer.status(), "a refusal says that trying again is harmless");
