Close upstream connections on bytes that no request is waiting for

The first read ended within the second copy; the connection counted as free as soon as the first copy was whole, the next request went out on it within the same event, and the rest of the copy was taken for its answer.

A connection is now free for the next request only once everything that has come on it is read, and what comes unasked closes it. The same pause lets the end of a connection be seen before anything is written to it.

Ruled out: answers mixed up on the client's side (each client socket gets the bytes read for its own request).

--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -213,6 +213,7 @@
         private void write(Connection connection) {
             channel = connection.channel;
             connection.current = this;
+            channel.pipeline().get(AnswerDecoder.class).expect();
             FullHttpRequest message = request;
             request = null;
             channel.writeAndFlush(message).addListener(f -> {
@@ -279,14 +280,23 @@
                 return;
             }
             current = null;
-            if (exchange.written && HttpUtil.isKeepAlive(answer) && server.ready
+            answer.retain();
+            // Only when all that has come is read: more behind the answer, or the end, forbids to go on here.
+            loop.execute(() -> {
+                keepOrClose(exchange, answer);
+                exchange.end(outcome(answer), answer);
+                answer.release();
+            });
+        }
+
+        private void keepOrClose(Exchange exchange, FullHttpResponse answer) {
+            if (exchange.written && HttpUtil.isKeepAlive(answer) && server.ready && channel.isActive()
                     && server.addr.equals(channel.remoteAddress())) {
                 idleSince = System.nanoTime();
                 server.idle.push(this);
             } else {
                 channel.close();
             }
-            exchange.end(outcome(answer), answer);
         }
 
         private static Outcome outcome(FullHttpResponse answer) {
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -301,6 +301,25 @@
         assertEquals(1, upstream.requests.size());
     }
 
+    /** What follows an answer unasked was taken for the answer to the next request on the connection. */
+    @Test
+    void whatFollowsAnAnswerIsNotTakenForTheNextOne() throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        Server upstream = server((m, s) -> {
+            boolean first = count.getAndIncrement() == 0;
+            String stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+            Sockets.answer(s, "200 OK", "", m.headers().get("x-correlation-id")
+                    + (first ? stray.substring(0, 30) : ""), 4);
+            if (!first) {
+                s.getOutputStream().write(stray.substring(30).getBytes("UTF-8"));
+            }
+        });
+        start(upstream);
+        Client client = client();
+        assertEquals("id-0", client.write(submit()).read().body());
+        assertEquals("id-1", client.write(submit()).read().body());
+    }
+
     /** What can't be read as the protocol has it was made by no upstream, and may have run. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK|no colon here|Content-Length: 4||done",
--- a/src/test/java/yewyoke/node/Sockets.java
+++ b/src/test/java/yewyoke/node/Sockets.java
@@ -166,8 +166,14 @@
 
     /** Writes an answer with a body. */
     static void answer(Socket socket, String status, String headers, String body) throws IOException {
+        answer(socket, status, headers, body, body.length());
+    }
+
+    /** Writes an answer that claims to have a body of {@code length}. */
+    static void answer(Socket socket, String status, String headers, String body, int length)
+            throws IOException {
         OutputStream out = socket.getOutputStream();
-        String head = "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length();
+        String head = "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + length;
         out.write((head + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
     }
 
