Rehearse in memory before opening, so that no client meets cold code

Cause: the balancer opened as soon as it listened, and the JVM loaded and interpreted its code while the first clients waited. With 0.42 to 0.51 of a core the node used all of its CPU for 2 to 4 s (0.50 of 0.50 by /proc), read requests hundreds of ms late and sent first attempts up to 0.9 s late.

The node now serves 6,000 requests of its own over an in-memory transport first, with its own pipelines and module, and opens after that or after 6 s. No socket is opened for it and no upstream hears of it.

--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -1,16 +1,13 @@
 package yewyoke.node;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -45,7 +42,6 @@
 /** The side towards clients: takes requests in, and gives each its one answer. */
 final class ClientServer {
     private static final System.Logger LOG = System.getLogger(ClientServer.class.getName());
-    private static final int BACKLOG = 1024;
     /** Requests that wait on a connection behind the one in work, before it is no longer read. */
     private static final int MAX_PIPELINED = 8;
     /**
@@ -80,10 +76,8 @@
     }
 
     /** Listens; fails if the address can't be had. */
-    void bind(InetSocketAddress address) throws InterruptedException {
-        listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
+    void bind(Transport transport, InetSocketAddress address) throws InterruptedException {
+        listening = transport.server(loop)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         Session session = new Session(channel);
@@ -91,7 +85,7 @@
                                 new HttpServerKeepAliveHandler(),
                                 new HttpObjectAggregator(Upstreams.MAX_BODY), session);
                     }
-                }).bind(address).sync().channel();
+                }).bind(transport.address(address)).sync().channel();
     }
 
     SocketAddress address() {
--- a/src/main/java/yewyoke/node/Discovery.java
+++ b/src/main/java/yewyoke/node/Discovery.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -13,7 +12,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -47,6 +45,7 @@
     private static final long LONGEST_PAUSE_MS = 1_000;
 
     private final EventLoop loop;
+    private final Transport transport;
     private final InetSocketAddress address;
     private final boolean asked;
     private final Driver driver;
@@ -57,8 +56,10 @@
     private boolean badLineLogged;
 
     /** With {@code asked} the module says when to call; otherwise the watch opens itself again. */
-    Discovery(EventLoop loop, InetSocketAddress address, boolean asked, long version, Driver driver) {
+    Discovery(EventLoop loop, Transport transport, InetSocketAddress address, boolean asked, long version,
+            Driver driver) {
         this.loop = loop;
+        this.transport = transport;
         this.address = address;
         this.asked = asked;
         this.version = version;
@@ -85,7 +86,7 @@
 
     private Channel call(String uri) {
         Call call = new Call();
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture connecting = transport.client(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
@@ -93,7 +94,7 @@
                                 new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS), new Body(),
                                 new LineBasedFrameDecoder(MAX_LINE), call);
                     }
-                }).connect(address);
+                }).connect(transport.address(address));
         Channel channel = connecting.channel();
         connecting.addListener(f -> {
             if (f.isSuccess()) {
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -45,7 +45,9 @@
             if (config == null) {
                 throw new IllegalArgumentException("NODE_CONFIG is not set");
             }
-            ClientServer server = serve(Config.read(Path.of(config)), group.next());
+            Config found = Config.read(Path.of(config));
+            Rehearsal.run(found);
+            ClientServer server = serve(found, group.next());
             // On SIGTERM the JVM waits for this hook while the event loop goes on.
             Runtime.getRuntime().addShutdownHook(
                     new Thread(() -> server.drain(KEEP_ACCEPTING_MS, LAST_ANSWER_MS)
@@ -60,19 +62,24 @@
 
     /** Starts a balancer; all of it lives on the one event loop. */
     static ClientServer serve(Config config, EventLoop loop) throws Exception {
+        return serve(config, loop, Transport.TCP);
+    }
+
+    /** The same on another transport. */
+    static ClientServer serve(Config config, EventLoop loop, Transport transport) throws Exception {
         Callable<ClientServer> start = () -> {
             int descriptors = Math.max(0, config.sockets() - OWN_DESCRIPTORS);
             int forClients = Math.max(1, (int) (CLIENT_PART * descriptors));
             var settings = config.facts().settings();
-            Upstreams upstreams = new Upstreams(loop, settings.limits().connectTimeout(),
+            Upstreams upstreams = new Upstreams(loop, transport, settings.limits().connectTimeout(),
                     settings.limits().connectIdle(), Math.max(1, descriptors - forClients));
             Driver driver = new Driver(loop, config, upstreams);
-            driver.start(new Discovery(loop, config.discovery(), settings.askForList(),
+            driver.start(new Discovery(loop, transport, config.discovery(), settings.askForList(),
                     config.known().version(), driver), config.known());
             return new ClientServer(loop, driver, config.facts(), forClients);
         };
         ClientServer server = loop.submit(start).get();
-        server.bind(config.listen());
+        server.bind(transport, config.listen());
         return server;
     }
 }
--- /dev/null
+++ b/src/main/java/yewyoke/node/Rehearsal.java
@@ -0,0 +1,160 @@
+package yewyoke.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.local.LocalIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import yewyoke.Balancer.Effect;
+import yewyoke.Balancer.State;
+
+/**
+ * Serves requests of its own, in memory, before the first client may come. Code that has never run is loaded
+ * and interpreted at many times the CPU of a warm one; with part of a core, a balancer that opened cold was
+ * seconds behind its clients, and the requests that timed out meanwhile came back as more.
+ */
+final class Rehearsal {
+    private static final System.Logger LOG = System.getLogger(Rehearsal.class.getName());
+    /** Enough for the compiler to have seen the common path; more brought nothing. */
+    private static final int REQUESTS = 6_000;
+    /** A restarted balancer is missed: rather open somewhat cold than late. */
+    private static final long LONGEST_MS = 6_000;
+    private static final int CLIENTS = 16;
+    private static final int UPSTREAMS = 4;
+    private static final int BODY = 1_000;
+    /** Each of so many answers is an error or a rejection, so that these paths are seen too. */
+    private static final int ONE_BAD_OF = 10;
+
+    private final Config config;
+    private final EventLoop loop;
+    private final CountDownLatch left = new CountDownLatch(REQUESTS);
+    private int sent;
+    private int answered;
+    private volatile int served;
+
+    private Rehearsal(Config config, EventLoop loop) {
+        this.config = config;
+        this.loop = loop;
+    }
+
+    /**
+     * Runs until warm, or for the longest time allowed; a balancer that can't rehearse starts cold. Returns
+     * how many requests were served.
+     */
+    static int run(Config config) throws InterruptedException {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
+        try {
+            Rehearsal rehearsal = new Rehearsal(config, group.next());
+            rehearsal.play();
+            return rehearsal.served;
+        } catch (InterruptedException e) {
+            throw e;
+        } catch (Exception e) {
+            LOG.log(System.Logger.Level.WARNING, "could not rehearse, so the start is cold", e);
+            return 0;
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private void play() throws Exception {
+        List<ServerList.Entry> upstreams = IntStream.range(0, UPSTREAMS).mapToObj(this::upstream).toList();
+        for (ServerList.Entry u : upstreams) {
+            Transport.MEMORY.server(loop).childHandler(new ChannelInitializer<Channel>() {
+                @Override protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new HttpServerCodec(),
+                            new HttpObjectAggregator(Upstreams.MAX_BODY), new Upstream());
+                }
+            }).bind(Transport.MEMORY.address(u.addr())).sync();
+        }
+        Main.serve(new Config(config.listen(), config.discovery(), config.seed(), config.sockets(),
+                new ServerList(0, true, upstreams), config.facts()), loop, Transport.MEMORY);
+        for (int i = 0; i < CLIENTS; i++) {
+            Transport.MEMORY.client(loop).handler(new ChannelInitializer<Channel>() {
+                @Override protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new HttpClientCodec(),
+                            new HttpObjectAggregator(Upstreams.MAX_BODY), new Client());
+                }
+            }).connect(Transport.MEMORY.address(config.listen())).sync();
+        }
+        left.await(LONGEST_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private ServerList.Entry upstream(int number) {
+        return new ServerList.Entry("rehearsal-" + number, new InetSocketAddress(
+                config.listen().getAddress(), number + 1), "", "", number, State.READY, 1, 0);
+    }
+
+    private static ByteBuf body() {
+        return Unpooled.wrappedBuffer(new byte[BODY]);
+    }
+
+    /** Stands for a server. */
+    private final class Upstream extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            boolean bad = ++answered % ONE_BAD_OF == 0;
+            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, bad
+                    ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, body());
+            answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY);
+            answer.headers().set("X-Backend-Load", "cpu=0." + answered % ONE_BAD_OF + ",rps=9,err_rps=0");
+            if (answered % (2 * ONE_BAD_OF) == 0) {
+                answer.headers().set("X-Unprocessed", "1");
+            }
+            ctx.writeAndFlush(answer);
+        }
+    }
+
+    /** Stands for a client: one request at a time, over and over. */
+    private final class Client extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override public void channelActive(ChannelHandlerContext ctx) {
+            send(ctx);
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            served += answer.status().code() == HttpResponseStatus.OK.code() ? 1 : 0;
+            left.countDown();
+            if (left.getCount() > 0) {
+                send(ctx);
+            }
+        }
+
+        private void send(ChannelHandlerContext ctx) {
+            int number = sent++;
+            int c = number % config.facts().classes().size();
+            String name = config.facts().classes().get(c);
+            boolean get = config.facts().settings().classes().get(c).effect() == Effect.SAFE;
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, get ? HttpMethod.GET
+                    : HttpMethod.POST, "/" + name + "?key=k" + number % BODY, get ? Unpooled.EMPTY_BUFFER
+                    : body());
+            request.headers().set("Host", "rehearsal").set("X-Correlation-Id", "rehearsal-" + number)
+                    .set("X-Service-Class", name).set(Driver.TIME_LEFT, 1_000)
+                    .set("Idempotency-Key", "rehearsal-" + number)
+                    .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+            if (!config.facts().tenants().isEmpty()) {
+                request.headers().set("X-Account", config.facts().tenants().get(0));
+            }
+            ctx.writeAndFlush(request);
+        }
+    }
+}
--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -42,19 +41,21 @@
     private static final long SWEEP_MS = 250;
 
     private final EventLoop loop;
+    private final Transport transport;
     private final Bootstrap bootstrap;
     private final long idleNanos;
     private final int maxConnections;
     private final Map<String, Server> servers = new HashMap<>();
     private int connections;
 
-    Upstreams(EventLoop loop, long connectTimeoutMicros, long connectIdleMicros, int maxConnections) {
+    Upstreams(EventLoop loop, Transport transport, long connectTimeoutMicros, long connectIdleMicros,
+            int maxConnections) {
         this.loop = loop;
+        this.transport = transport;
         this.maxConnections = maxConnections;
         this.idleNanos = (long) (connectIdleMicros * 1_000 * IDLE_PART);
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = transport.client(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMicros / 1_000))
-                .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpRequestEncoder(), new AnswerDecoder(),
@@ -180,18 +181,18 @@
 
     private void connect(Server server, Exchange exchange) {
         connections++;
-        ChannelFuture connecting = bootstrap.connect(server.addr);
+        InetSocketAddress addr = server.addr;
+        ChannelFuture connecting = bootstrap.connect(transport.address(addr));
         exchange.channel = connecting.channel();
         connecting.channel().closeFuture().addListener(f -> connections--);
         connecting.addListener(f -> {
             // The list may have changed meanwhile: nothing new goes to an upstream that drains or has moved.
-            if (!f.isSuccess() || exchange.ended || !server.ready
-                    || !server.addr.equals(connecting.channel().remoteAddress())) {
+            if (!f.isSuccess() || exchange.ended || !server.ready || !server.addr.equals(addr)) {
                 connecting.channel().close();
                 exchange.end(Outcome.CONNECT_FAILED, null);
                 return;
             }
-            Connection connection = new Connection(server, connecting.channel());
+            Connection connection = new Connection(server, addr, connecting.channel());
             connection.channel.pipeline().addLast(connection);
             exchange.write(connection);
         });
@@ -260,12 +261,14 @@
     /** A connection that is up. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final Server server;
+        private final InetSocketAddress addr;
         private final Channel channel;
         private Exchange current;
         private long idleSince;
 
-        Connection(Server server, Channel channel) {
+        Connection(Server server, InetSocketAddress addr, Channel channel) {
             this.server = server;
+            this.addr = addr;
             this.channel = channel;
         }
 
@@ -291,7 +294,7 @@
 
         private void keepOrClose(Exchange exchange, FullHttpResponse answer) {
             if (exchange.written && HttpUtil.isKeepAlive(answer) && server.ready && channel.isActive()
-                    && server.addr.equals(channel.remoteAddress())) {
+                    && server.addr.equals(addr)) {
                 idleSince = System.nanoTime();
                 server.idle.push(this);
             } else {
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -95,6 +95,10 @@
 
     /** Starts a balancer that knows a list and follows discovery. */
     private void start(String known, Server discovery) throws Exception {
+        node = Main.serve(config(known, discovery), group.next());
+    }
+
+    private Config config(String known, Server discovery) throws Exception {
         Path file = folder.resolve("config.json");
         Files.writeString(file, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
                 + discovery.addr() + "\",\"seed\":\"8c1f30d27a5be964\","
@@ -108,7 +112,7 @@
                 + idle + "},\"rules\":{\"answer-slack-s\":0.02,\"drain-grace-s\":2,\"cold-s\":9,"
                 + "\"start-capacity\":0.2,\"fall-multiple\":3,\"fall-s\":1},\"report\":{\"names\":[\"cpu\"],"
                 + "\"via\":\"" + reports + "\"},\"prices\":{},\"tick-s\":0.005,\"discovery\":\"pushed\"}}");
-        node = Main.serve(Config.read(file), group.next());
+        return Config.read(file);
     }
 
     private void start(Server... upstreams) throws Exception {
@@ -644,6 +648,16 @@
         assertOneLine(run(file, "serve"));
     }
 
+    /** One that opened cold was seconds behind its clients; what it warms up with is its own affair. */
+    @Test
+    void rehearsalServesRequestsAndTouchesNoOne() throws Exception {
+        Server upstream = server(SERVE);
+        Server discovery = server(HANG);
+        assertTrue(Rehearsal.run(config(ready(upstream), discovery)) > 100);
+        assertTrue(upstream.accepted.isEmpty());
+        assertTrue(discovery.accepted.isEmpty());
+    }
+
     private record Result(int exit, String err) { }
 
     private static Result run(String... args) {
