Serve in a planned stop until shortly before its end

Cause: from SIGTERM on each answer closed its connection, and 0.5 s later the rest were closed; where there is no other balancer, clients had nowhere to go for 1.6 s more than needed, since SIGKILL and the restart come the longest deadline plus 0.7 s after SIGTERM whatever we do. The node now goes on as before, in ill health, until 0.8 s before that, and has answered all 0.3 s before it.

--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -67,6 +67,7 @@
     private Channel listening;
     private boolean open;
     private boolean stopping;
+    private boolean closing;
 
     ClientServer(EventLoop loop, Driver driver, SettingsReader.Found facts, int maxConnections) {
         this.loop = loop;
@@ -104,13 +105,14 @@
     }
 
     /**
-     * A planned stop: goes on accepting while clients still come, answers all that was taken, the last of it
-     * as failed when time runs out, and closes connections between requests. The future is done when nothing
-     * can be pending any more.
+     * A planned stop: goes on as before while clients still come, but in ill health; then answers all that was
+     * taken, the last of it as failed when time runs out, and closes connections between requests. The future
+     * is done when nothing can be pending any more.
      */
     Promise<Void> drain(long keepAcceptingMs, long lastAnswerMs) {
         loop.execute(() -> stopping = true);
         loop.schedule(() -> {
+            closing = true;
             listening.close();
             closeIdle();
         }, keepAcceptingMs, TimeUnit.MILLISECONDS);
@@ -131,7 +133,7 @@
     }
 
     private void finishIfDrained() {
-        if (stopping && !listening.isOpen() && sessions.isEmpty()) {
+        if (closing && sessions.isEmpty()) {
             drained.trySuccess(null);
         }
     }
@@ -261,7 +263,7 @@
                 answer.headers().set(HttpHeaderNames.RETRY_AFTER,
                         BigDecimal.valueOf(retryAfter, 6).toPlainString());
             }
-            if (stopping || malformed || sessions.size() > KEPT_PART * maxConnections) {
+            if (closing || malformed || sessions.size() > KEPT_PART * maxConnections) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
@@ -19,10 +20,16 @@
     /** Of the rest clients get this part at most; upstreams have the others. */
     private static final double CLIENT_PART = 0.75;
 
-    /** After SIGTERM connections come for up to 0.4 s more; a little later none waits to be accepted. */
-    private static final long KEEP_ACCEPTING_MS = 500;
-    /** SIGKILL may come 3.7 s after SIGTERM, and what it finds unanswered is lost: deadlines can be later. */
-    private static final long LAST_ANSWER_MS = 3_400;
+    /** SIGKILL comes so long after SIGTERM at the earliest, and the longest deadline later. */
+    private static final long KILL_MS = 700;
+    /** A longer deadline counts as this one. */
+    private static final long LONGEST_DEADLINE_MS = 3_000;
+    /** All is answered so long before SIGKILL: what that finds unanswered is lost, and we may run late. */
+    private static final long SPARE_MS = 300;
+    /** Nothing new is taken for so long before the last answer; few requests take longer. */
+    private static final long LAST_REQUESTS_MS = 500;
+    /** New connections come for up to 0.4 s after SIGTERM; a little later none waits to be accepted. */
+    private static final long LEAST_ACCEPTING_MS = 500;
 
     private Main() { }
 
@@ -54,8 +61,7 @@
             HangUp.handle(() -> reload(file, server));
             // On SIGTERM the JVM waits for this hook while the event loop goes on.
             Runtime.getRuntime().addShutdownHook(
-                    new Thread(() -> server.drain(KEEP_ACCEPTING_MS, LAST_ANSWER_MS)
-                            .awaitUninterruptibly()));
+                    new Thread(() -> stop(found, server).awaitUninterruptibly()));
             Rehearsal.run(found);
             server.open();
             return 0;
@@ -66,6 +72,14 @@
         }
     }
 
+    /** With no other balancer to go to, each moment not served is lost: serves as long as is safe. */
+    private static Future<Void> stop(Config config, ClientServer server) {
+        long deadline = config.facts().settings().classes().stream().mapToLong(c -> c.giveUp() / 1_000).max()
+                .orElse(0);
+        long lastAnswer = KILL_MS + Math.min(LONGEST_DEADLINE_MS, deadline) - SPARE_MS;
+        return server.drain(Math.max(LEAST_ACCEPTING_MS, lastAnswer - LAST_REQUESTS_MS), lastAnswer);
+    }
+
     /** A file that can't be used changes nothing: the balancer goes on with what it has. */
     private static void reload(Path file, ClientServer server) {
         try {
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -596,10 +596,11 @@
     @Test
     void plannedStopAnswersAllThatWasTakenAndStillAcceptsAWhile() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        start(server((m, s) -> {
+        Script gated = (m, s) -> {
             go.await();
             SERVE.on(m, s);
-        }), server(SERVE));
+        };
+        start(server(gated), server(gated));
         Client unused = client();
         Client inWork = client().write(submit());
         Future<Void> drained = node.drain(2_000, 60_000);
@@ -616,6 +617,19 @@
         assertTrue(drained.await(Sockets.PATIENCE_S, TimeUnit.SECONDS));
     }
 
+    /** Each answer closed its connection, and with one balancer there was nowhere else to go. */
+    @Test
+    void plannedStopServesOnKeptConnectionsAsLongAsItAccepts() throws Exception {
+        start(server(SERVE));
+        Client client = client();
+        assertEquals(200, client.write(submit()).read().status());
+        node.drain(60_000, 90_000);
+        String health = "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n";
+        assertEquals(503, client.write(health).read().status());
+        assertEquals(200, client.write(submit()).read().status());
+        assertNull(client.write(submit()).read().headers().get("connection"));
+    }
+
     /** A stop leaves less time than some clients do: what the end of the process finds unanswered is lost. */
     @Test
     void plannedStopAnswersWhatIsStillOpenAtItsEnd() throws Exception {
