--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -105,9 +105,9 @@
     }
 
     /**
-     * A planned stop: goes on as before while clients still come, but in ill health; then answers all that was
-     * taken, the last of it as failed when time runs out, and closes connections between requests. The future
-     * is done when nothing can be pending any more.
+     * A planned stop: goes on as before while clients still come, but in ill health; then answers all that
+     * was taken, the last of it as failed when time runs out, and closes connections between requests. The
+     * future is done when nothing can be pending any more.
      */
     Promise<Void> drain(long keepAcceptingMs, long lastAnswerMs) {
         loop.execute(() -> stopping = true);
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -603,7 +603,7 @@
         start(server(gated), server(gated));
         Client unused = client();
         Client inWork = client().write(submit());
-        Future<Void> drained = node.drain(2_000, 60_000);
+        Future<Void> drained = node.drain(1_000, 60_000);
         Client late = client().write(submit());
         assertNull(unused.read(), "closed between requests");
         assertFalse(drained.isDone());
