Start from an archive of the loaded classes, which the build makes

Cause: a third of a restart's CPU went into loading and verifying classes, and half a core makes that time; where there is one balancer, nothing is served meanwhile. The build now runs `rehearse`, which serves requests of its own in memory and ends, and has the JVM keep what was loaded. Without the archive a balancer starts as before, only slower.

--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -9,6 +9,7 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
 import yewyoke.adapter.Adapter;
 import yewyoke.adapter.BadInput;
 
@@ -33,7 +34,10 @@
 
     private Main() { }
 
-    /** Runs until SIGTERM ({@code serve}) or the end of input ({@code adapter}). */
+    /**
+     * Runs until SIGTERM ({@code serve}) or the end of input ({@code adapter}). {@code rehearse} ends by
+     * itself after it has loaded what serving needs: the build has the JVM keep that in an archive.
+     */
     public static void main(String[] args) {
         int exit = run(args, System.getenv("NODE_CONFIG"), System.err);
         if (exit != 0) {
@@ -46,8 +50,9 @@
         if (args.length == 1 && args[0].equals("adapter")) {
             return Adapter.run(args, System.in, System.out, err);
         }
-        if (args.length != 1 || !args[0].equals("serve")) {
-            err.println("usage: java -jar yewyoke.jar serve|adapter");
+        boolean rehearse = args.length == 1 && args[0].equals("rehearse");
+        if (!rehearse && (args.length != 1 || !args[0].equals("serve"))) {
+            err.println("usage: java -jar yewyoke.jar serve|adapter|rehearse");
             return 2;
         }
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -58,6 +63,11 @@
             Path file = Path.of(config);
             Config found = Config.read(file);
             ClientServer server = serve(found, group.next(), Transport.TCP);
+            if (rehearse) {
+                int served = Rehearsal.run(found);
+                group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+                return served > 0 ? 0 : 1;
+            }
             HangUp.handle(() -> reload(file, server));
             // On SIGTERM the JVM waits for this hook while the event loop goes on.
             Runtime.getRuntime().addShutdownHook(
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -673,6 +673,12 @@
         assertTrue(discovery.accepted.isEmpty());
     }
 
+    /** What the build runs to have the loaded classes kept for the starts to come. */
+    @Test
+    void rehearseCommandEndsByItself() {
+        assertEquals(0, run(Path.of("deploy/rehearsal.json"), "rehearse").exit());
+    }
+
     private record Result(int exit, String err) { }
 
     private static Result run(String... args) {
