Tell refused clients when to come back, where the settings allow it

Cause: each refusal went out without advice, and clients came back into the same line of waiting requests. The module now names one aim of the request's class, within the longest wait that clients follow: by then what is held is served or refused. The answer itself still goes at once.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -565,7 +565,7 @@
     private void finish(Req r, long now) {
         hold(r, false, now);
         if (mayRefuse(r)) {
-            out.refuse(r.request.id(), 0);
+            out.refuse(r.request.id(), comeBackAfter(r));
             if (!r.request.retry()) {
                 int c = r.request.classIndex();
                 refusedAfter[c] += 0.05 * (now - r.arrivedAt - refusedAfter[c]);
@@ -576,6 +576,11 @@
         conclude(r, now);
     }
 
+    /** When to come back: what is held now is served or refused within its aim, so the line is new then. */
+    private long comeBackAfter(Req r) {
+        return settings.limits().retryAfter() ? Math.min(r.cls.aim(), settings.limits().maxRetryAfter()) : 0;
+    }
+
     private void conclude(Req r, long now) {
         hold(r, false, now);
         r.ended = true;
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -15,6 +15,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import yewyoke.Balancer.ListKind;
 import yewyoke.Balancer.LoadReport;
 import yewyoke.Balancer.Outcome;
@@ -720,6 +722,16 @@
         assertTrue(h.sends.isEmpty(), h.sends.toString());
     }
 
+    /** Refused at once and told nothing, clients came back into the same line. */
+    @ParameterizedTest
+    @CsvSource({"0, 0", "200, 200", "2500, 500"})
+    void refusalTellsWhenToComeBackWhereThatIsAllowed(int maxMs, int expectedMs) {
+        config.maxRetryAfter = maxMs * MILLI;
+        Host h = Host.of(config).list(3);
+        h.request(0, 0);
+        assertEquals(List.of(expectedMs * MILLI), h.comeBackAfter);
+    }
+
     @Test
     void anEmptyListHoldsRequestsUntilTheirTimeAndTheNextListServesThem() {
         Host h = Host.of(config).list(3);
