--- a/src/main/java/yewyoke/node/Rehearsal.java
+++ b/src/main/java/yewyoke/node/Rehearsal.java
@@ -36,8 +36,8 @@
  */
 final class Rehearsal {
     private static final System.Logger LOG = System.getLogger(Rehearsal.class.getName());
-    /** Enough for the compiler to have seen the common path; more brought nothing. */
-    private static final int REQUESTS = 3_000;
+    /** Enough for the common path to be compiled; more only kept clients waiting after a restart. */
+    private static final int REQUESTS = 1_000;
     /** A restarted balancer is missed: rather open somewhat cold than late. */
     private static final long LONGEST_MS = 6_000;
     private static final int CLIENTS = 16;
