Rehearse 100 requests instead of 1,000: restarts kept clients away for 7 s

The logs have the rehearsal's end at 7.0 s of each process's clock (Rehearsal.REQUESTS). Of 1.3 s of CPU up to there, 0.5 is the compiler's and 0.5 the rehearsal's loop, 0.2 the JVM and main thread.

Ruled out: discovery (ready needs a list or 1 s), class loading (2,418 of 2,505 classes come from the archive), netty's JFR events and indy string concatenation (no difference in CPU without them, so both stay as they were).

--- a/src/main/java/yewyoke/node/Rehearsal.java
+++ b/src/main/java/yewyoke/node/Rehearsal.java
@@ -36,8 +36,12 @@
  */
 final class Rehearsal {
     private static final System.Logger LOG = System.getLogger(Rehearsal.class.getName());
-    /** Enough for the common path to be compiled; more only kept clients waiting after a restart. */
-    private static final int REQUESTS = 1_000;
+    /**
+     * Enough for every class of the common path to be loaded and linked. What is left cold is compiled while
+     * it serves, for some milliseconds a request; compiled here, it kept each restarted balancer of a large
+     * fleet away from its clients for seconds.
+     */
+    private static final int REQUESTS = 100;
     /** A restarted balancer is missed: rather open somewhat cold than late. */
     private static final long LONGEST_MS = 6_000;
     private static final int CLIENTS = 16;
