--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -31,6 +31,7 @@
     private static final double CROSSING = 80; // own zone's preference for each point that crossing costs
     private static final double OWN_HOME = 4; // how much likelier a key's home is in the own zone
     private static final double HOME = 2.5; // preference for a key's home, where warm keys save work
+    private static final int SAMPLE = 12; // upstreams that a pick draws among; the home is always one
     private static final double UNPROVEN = 0.74; // preference for an upstream just back from ejection
     private static final double UNPROVEN_UNSAFE = 0.38; // the same for a request that cannot be tried again
     private static final double FIRST_TOTAL = 3; // in flight by all before anything is known: a short line
@@ -393,14 +394,17 @@
      */
     private Up pick(Req r, long now, boolean pressing) {
         boolean panic = panic(now);
-        List<Up> candidates = candidates(now);
-        double[] scores = new double[candidates.size()];
+        List<Up> open = new ArrayList<>();
+        for (Up up : candidates(now)) {
+            if (mayTake(up, r, now, panic) && (pressing || hasRoom(up, r, now))) {
+                open.add(up);
+            }
+        }
+        sample(open, r.home);
+        double[] scores = new double[open.size()];
         double sum = 0;
         for (int i = 0; i < scores.length; i++) {
-            Up up = candidates.get(i);
-            if (!mayTake(up, r, now, panic) || !pressing && !hasRoom(up, r, now)) {
-                continue;
-            }
+            Up up = open.get(i);
             double preference = rating(up) * warmth(up, now) * Math.pow(1 - up.errors, 2) * zoneFactor(up)
                     * (up == r.home ? HOME : 1) * (up.ejection <= FIRST_EJECTION ? 1
                     : r.cls.effect() == Effect.UNSAFE ? UNPROVEN_UNSAFE : UNPROVEN);
@@ -408,7 +412,22 @@
             scores[i] = weight / Math.pow(loadUnits(up) + others(up, now) + 1, BIAS);
             sum += scores[i];
         }
-        return sum > 0 ? draw(candidates, scores, sum) : null;
+        return sum > 0 ? draw(open, scores, sum) : null;
+    }
+
+    /**
+     * Leaves a random few, and the home if it is among them. Drawn among all of a large fleet, the home's
+     * preference was one against dozens: its keys were served everywhere, and everywhere cold.
+     */
+    private void sample(List<Up> open, Up home) {
+        if (open.size() <= SAMPLE) {
+            return;
+        }
+        Collections.swap(open, 0, Math.max(0, open.indexOf(home)));
+        for (int i = 1; i < SAMPLE; i++) {
+            Collections.swap(open, i, i + random.nextInt(open.size() - i));
+        }
+        open.subList(SAMPLE, open.size()).clear();
     }
 
     private boolean mayTake(Up up, Req r, long now, boolean panic) {
