Let chance set a cold upstream's budget: 36 of 60 stood idle beside full ones

Reweighting wants them (log weight +2 to +4); coldRoom does not let it: a cold one got 0.14 requests a second from a balancer, a warm one 1.25.

Lines at fault, all in the cold-start budget: COLD_CARE, a fixed fifth of the budget whatever its size; a bucket of 1.2 mean requests that every request dearer than that (all bookings) never got; and budget saved up by 14 balancers for the same moment, which made the small part necessary. Now so many requests are aimed at that five standard deviations more fit; a dear one leaves a debt; what is saved and not used within 0.25 s is forgotten.

Ruled out: in-flight limits (below 1 everywhere, and taken as 1), the weights, the home (it has the same budget), connections (3 failures in 5 s).

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -60,8 +60,9 @@
     private static final double PROBE_POINTS = 0.003; // points that slow steady probing may cost
     private static final long PROBE_GAP = 300_000; // no upstream is probed more often than this by it
     private static final long ASK_AGAIN = 1_000_000; // mean pause before a failed subscription is tried again
-    private static final double COLD_CARE = 0.2; // of our share of a cold upstream's budget: much is unseen
+    private static final double COLD_SPREAD = 5; // standard deviations kept free of a cold upstream's budget
     private static final double COLD_COST = 1.2; // least bucket for a cold upstream, in mean requests
+    private static final long COLD_OFFER = 250_000; // saved budget not used for so long is forgotten
     private static final long MARGIN_TICKS = 3; // a final answer is given this early, since ticks are coarse
     private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -132,7 +133,7 @@
         boolean hanging;
         // cold-start budget
         double doneRate, doneWork, tokens;
-        long tokensAt;
+        long tokensAt, offeredAt;
 
         Up(String id, int position) {
             this.id = id;
@@ -224,8 +225,9 @@
             up.weight = Math.exp(learnt);
             up.pace = typicalPace;
             up.limit = Math.max(LEAST_LIMIT, FIRST_TOTAL / settings.groupSize());
-            up.tokens = meanCost * (2 * random.nextDouble() - 1);
+            up.tokens = firstTokens();
             up.tokensAt = now;
+            up.offeredAt = now;
             byId.put(e.id(), up);
         }
         up.entry = e;
@@ -432,7 +434,7 @@
 
     private boolean mayTake(Up up, Req r, long now, boolean panic) {
         return maySend(r, up, now) && (panic || !ejected(up, now)) && !silent(up, now)
-                && coldRoom(up, r, now);
+                && coldRoom(up, now);
     }
 
     private Up draw(List<Up> candidates, double[] scores, double sum) {
@@ -733,21 +735,46 @@
     }
 
     /**
-     * A cold upstream takes fallMultiple times its capacity at most. Our part is that multiple of what a warm
-     * upstream does for us: over all balancers this sums to the capacity, however unevenly traffic is spread.
-     * Work that was sent and turned away does not count, or a storm of rejections would swell the budget. The
-     * bucket starts at random, or all balancers would have saved up for a first request at the same moment.
+     * A cold upstream takes fallMultiple times its capacity at most. Our part follows from what a warm one
+     * does for us: over all balancers this sums to the capacity, however unevenly traffic is spread. Work
+     * that was sent and turned away does not count, or a storm of rejections would swell the budget.
+     *
+     * <p>Nobody sees what the others send at this moment, so chance must not break the budget either: see
+     * {@link #coldRate}. The bucket starts at random, and what is saved up is forgotten unless it is used soon:
+     * all balancers take to the same upstream when its reports show it idle, and would all have saved up for
+     * it. A mean request's budget lets any request go and a dear one leaves a debt, or those that can best
+     * bear a slow upstream would never go to one.
      */
-    private boolean coldRoom(Up up, Req r, long now) {
+    private boolean coldRoom(Up up, long now) {
         double warmth = warmth(up, now);
         if (warmth >= 1 || (tells || asks) && up.inFlight + others(up, now) >= 1) {
             return warmth >= 1;
         }
-        double rate = COLD_CARE * settings.rules().fallMultiple() * warmth * warmRate * rating(up);
+        double rate = coldRate(up, warmth);
         double most = Math.max(rate * settings.rules().fallTime(), COLD_COST * meanCost);
         up.tokens = Math.min(most, up.tokens + rate * (now - up.tokensAt));
         up.tokensAt = now;
-        return up.tokens >= coldCharge(r);
+        if (up.tokens < meanCost) {
+            up.offeredAt = now;
+        } else if (now - up.offeredAt > COLD_OFFER) {
+            up.tokens = firstTokens();
+            up.offeredAt = now;
+        }
+        return up.tokens >= meanCost;
+    }
+
+    private double firstTokens() { return meanCost * (2 * random.nextDouble() - 1); }
+
+    /**
+     * Work that we may send to a cold upstream in a microsecond. All balancers together send about at random;
+     * so many mean requests are aimed at that COLD_SPREAD standard deviations more are within the budget. A
+     * fixed part of the budget is too much of a small one, and leaves most of a large one idle.
+     */
+    private double coldRate(Up up, double warmth) {
+        double budget = settings.rules().fallMultiple() * warmth * warmRate * rating(up);
+        double requests = budget * settings.groupSize() * settings.rules().fallTime() / Math.max(meanCost, 1);
+        double root = Math.sqrt(requests + COLD_SPREAD * COLD_SPREAD / 4) - COLD_SPREAD / 2;
+        return requests > 0 ? budget * root * root / requests : 0;
     }
 
     /** At least a mean request: those with hints small enough for the bucket are dearer than they say. */
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -160,6 +160,21 @@
         }
     }
 
+    /** At 60 upstreams a key's home was one preference against dozens, and keys were cold everywhere. */
+    @Test
+    void aKeyKeepsItsHomeInALargeFleet() {
+        config.warmKeys = true;
+        config.group = 14;
+        Host h = Host.of(config).list(60);
+        for (int i = 0; i < 400; i++) {
+            String id = h.request(0, 2 * SECOND, "key", 20 * MILLI);
+            h.advance(20 * MILLI);
+            h.end(id, Outcome.OK, 20 * MILLI, null);
+        }
+        int most = h.perUpstream.values().stream().max(Integer::compare).orElse(0);
+        assertTrue(most > 240, "at its home " + most + " of 400");
+    }
+
     @Test
     void withScarceRoomHeldKeysGoHomeAndLateOnesHaveNoSuchCall() {
         config.warmKeys = true;
@@ -463,6 +478,64 @@
         assertTrue(count(h, "u0") > 0 && count(h, "u0") < 120, h.perUpstream.toString());
     }
 
+    /**
+     * What 14 balancers send in a second to an upstream that has just started, in requests of equal work, each
+     * serving 50 a second on two warm ones. One that can do what those do may be sent 3 times 0.2 of that.
+     */
+    private static List<Integer> sentToAColdUpstream(Host.Config config, int seconds) {
+        config.group = 14;
+        List<Host> balancers = new ArrayList<>();
+        for (config.position = 0; config.position < config.group; config.position++) {
+            Host h = Host.of(config, config.position);
+            h.list(3);
+            balancers.add(h);
+            h.change(Host.up(0, State.GONE, 0));
+            for (int i = 0; i < 500; i++) {
+                h.serve(0, 20 * MILLI, u -> 0.8);
+            }
+            h.change(Host.up(0, State.READY, h.now));
+        }
+        List<Integer> sent = new ArrayList<>();
+        for (int s = 0; s < seconds; s++) {
+            int before = balancers.stream().mapToInt(h -> count(h, "u0")).sum();
+            for (Host h : balancers) {
+                for (int i = 0; i < 50; i++) {
+                    h.serve(0, 20 * MILLI, u -> u.equals("u0") ? 0.1 : 0.8);
+                }
+            }
+            sent.add(balancers.stream().mapToInt(h -> count(h, "u0")).sum() - before);
+        }
+        return sent;
+    }
+
+    /** Each alone was so careful that the reports of 36 new upstreams stayed at 0.1, beside 24 at 0.9. */
+    @Test
+    void aColdUpstreamIsPutToUseByManyBalancersAndNotPushedOver() {
+        List<Integer> sent = sentToAColdUpstream(config, 10);
+        int warm = 14 * 50 / 2;
+        for (int s = 0; s < sent.size(); s++) {
+            double capacity = warm * (0.2 + 0.8 * s / 20);
+            assertTrue(sent.get(s) < 3 * capacity, sent.toString());
+            assertTrue(s < 5 || sent.get(s) > capacity, sent.toString());
+        }
+    }
+
+    /** A request dearer than the mean never had the budget, though it is the one that can bear to wait. */
+    @Test
+    void aDearRequestMayGoToAColdUpstream() {
+        Host h = Host.of(config).list(3);
+        for (int i = 0; i < 500; i++) {
+            h.serve(0, 10 * MILLI, u -> 0.6);
+        }
+        for (int i = 0; i < 3; i++) {
+            h.change(Host.up(i, State.READY, h.now));
+        }
+        h.advance(SECOND);
+        String dear = h.request(0, 2 * SECOND, null, 200 * MILLI);
+        h.advance(SECOND / 5);
+        assertNotEquals(null, h.lastUpstream(dear));
+    }
+
     @Test
     void halfTheFleetGoneUnknownToTheListCostsLittle() {
         Host h = Host.of(config).list(6);
--- a/src/test/java/yewyoke/Host.java
+++ b/src/test/java/yewyoke/Host.java
@@ -85,8 +85,12 @@
     }
 
     static Host of(Config config) {
+        return of(config, 7);
+    }
+
+    static Host of(Config config, long seed) {
         Host host = new Host();
-        host.balancer = new Balance(config.settings(), 7, host);
+        host.balancer = new Balance(config.settings(), seed, host);
         host.balancer.start(host.now);
         return host;
     }
