--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -740,10 +740,10 @@
      * that was sent and turned away does not count, or a storm of rejections would swell the budget.
      *
      * <p>Nobody sees what the others send at this moment, so chance must not break the budget either: see
-     * {@link #coldRate}. The bucket starts at random, and what is saved up is forgotten unless it is used soon:
-     * all balancers take to the same upstream when its reports show it idle, and would all have saved up for
-     * it. A mean request's budget lets any request go and a dear one leaves a debt, or those that can best
-     * bear a slow upstream would never go to one.
+     * {@link #coldRate}. The bucket starts at random, and what is saved is forgotten unless used soon: all
+     * balancers take to the same upstream when its reports show it idle, and would all have saved for it. A
+     * mean request's budget lets any request go and a dear one leaves a debt, or those that can best bear a
+     * slow upstream would never go to one.
      */
     private boolean coldRoom(Up up, long now) {
         double warmth = warmth(up, now);
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -479,8 +479,8 @@
     }
 
     /**
-     * What 14 balancers send in a second to an upstream that has just started, in requests of equal work, each
-     * serving 50 a second on two warm ones. One that can do what those do may be sent 3 times 0.2 of that.
+     * What 14 balancers send in a second to an upstream that has just started, in requests of equal work,
+     * each serving 50 a second on two warm ones. One that can do what those do may be sent 3 times 0.2 of it.
      */
     private static List<Integer> sentToAColdUpstream(Host.Config config, int seconds) {
         config.group = 14;
