Learn the rate of work as a mean at first: restarted balancers starved cold upstreams

Its warmRate is 0.009 after 2 s and 0.07 after 3, where those that stayed up have 0.13.

Line at fault: measureRates smooths by 0.08 a quarter second from nothing, 3 s to two thirds of the truth, and the budget of coldRate is a multiple of that.

Ruled out: the list (the first came 2 s after the call, before the shedding ends), in-flight limits (0.2, taken as 1, with 7 to 24 of 60 in flight).

The test fails without the change: 7 requests to 20 cold upstreams in 2 s instead of 34.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -62,6 +62,7 @@
     private static final long ASK_AGAIN = 1_000_000; // mean pause before a failed subscription is tried again
     private static final double COLD_SPREAD = 5; // standard deviations kept free of a cold upstream's budget
     private static final double COLD_COST = 1.2; // least bucket for a cold upstream, in mean requests
+    private static final double RATE_SHARE = 0.08; // smoothing of each period into the rate of work done
     private static final long COLD_OFFER = 250_000; // saved budget not used for so long is forgotten
     private static final long MARGIN_TICKS = 3; // a final answer is given this early, since ticks are coarse
     private static final long NEVER = Long.MIN_VALUE / 2;
@@ -85,7 +86,8 @@
             Comparator.<Req>comparingDouble(r -> -r.value).thenComparingLong(r -> -r.number));
     private final double[] classTook, refusedAfter, tenantTokens;
     private final long[] tenantAt;
-    private long requestNumber, requestsSince, nextReweight, nextProbe, nextSweep, decideAt;
+    private long requestNumber, requestsSince, ratePeriods;
+    private long nextReweight, nextProbe, nextSweep, decideAt;
     private long askAgainAt = Long.MAX_VALUE, dueAt = Long.MAX_VALUE;
     private double requestRate, typicalTook, typicalPace, unitTook, warmRate, meanCost, askTokens;
     private double askTook = FIRST_ASK;
@@ -780,10 +782,16 @@
     /** At least a mean request: those with hints small enough for the bucket are dearer than they say. */
     private double coldCharge(Req r) { return Math.max(r.cost, meanCost); }
 
+    /**
+     * Smooths the rates, the first ones as a plain mean since requests come: from nothing, it took a
+     * restarted balancer seconds to see what a warm upstream does, and cold ones got nothing meanwhile.
+     */
     private void measureRates(long now, long period) {
+        ratePeriods += requestNumber > 0 ? 1 : 0;
+        double share = Math.max(RATE_SHARE, 1.0 / Math.max(1, ratePeriods));
         double sum = 0, size = 0;
         for (Up up : ups.subList(0, Math.min(ups.size(), subset()))) {
-            up.doneRate += 0.08 * (up.doneWork / period - up.doneRate);
+            up.doneRate += share * (up.doneWork / period - up.doneRate);
             up.doneWork = 0;
             if (warmth(up, now) >= 1) {
                 sum += up.doneRate;
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import yewyoke.Balancer.ListKind;
 import yewyoke.Balancer.LoadReport;
 import yewyoke.Balancer.Outcome;
@@ -479,10 +480,11 @@
     }
 
     /**
-     * What 14 balancers send in a second to an upstream that has just started, in requests of equal work,
-     * each serving 50 a second on two warm ones. One that can do what those do may be sent 3 times 0.2 of it.
+     * What 14 balancers, up for some seconds, send each second to an upstream that has just started, in
+     * requests of equal work, each serving 50 a second on two warm ones. One that can do what those do may be
+     * sent 3 times 0.2 of it.
      */
-    private static List<Integer> sentToAColdUpstream(Host.Config config, int seconds) {
+    private static List<Integer> sentToAColdUpstream(Host.Config config, int before, int seconds) {
         config.group = 14;
         List<Host> balancers = new ArrayList<>();
         for (config.position = 0; config.position < config.group; config.position++) {
@@ -490,28 +492,29 @@
             h.list(3);
             balancers.add(h);
             h.change(Host.up(0, State.GONE, 0));
-            for (int i = 0; i < 500; i++) {
+            for (int i = 0; i < 50 * before; i++) {
                 h.serve(0, 20 * MILLI, u -> 0.8);
             }
             h.change(Host.up(0, State.READY, h.now));
         }
         List<Integer> sent = new ArrayList<>();
         for (int s = 0; s < seconds; s++) {
-            int before = balancers.stream().mapToInt(h -> count(h, "u0")).sum();
+            int so = balancers.stream().mapToInt(h -> count(h, "u0")).sum();
             for (Host h : balancers) {
                 for (int i = 0; i < 50; i++) {
                     h.serve(0, 20 * MILLI, u -> u.equals("u0") ? 0.1 : 0.8);
                 }
             }
-            sent.add(balancers.stream().mapToInt(h -> count(h, "u0")).sum() - before);
+            sent.add(balancers.stream().mapToInt(h -> count(h, "u0")).sum() - so);
         }
         return sent;
     }
 
     /** Each alone was so careful that the reports of 36 new upstreams stayed at 0.1, beside 24 at 0.9. */
-    @Test
-    void aColdUpstreamIsPutToUseByManyBalancersAndNotPushedOver() {
-        List<Integer> sent = sentToAColdUpstream(config, 10);
+    @ParameterizedTest(name = "balancers up for {0} s")
+    @ValueSource(ints = {1, 10})
+    void aColdUpstreamIsPutToUseByManyBalancersAndNotPushedOver(int before) {
+        List<Integer> sent = sentToAColdUpstream(config, before, 10);
         int warm = 14 * 50 / 2;
         for (int s = 0; s < sent.size(); s++) {
             double capacity = warm * (0.2 + 0.8 * s / 20);
@@ -520,6 +523,32 @@
         }
     }
 
+    /** The rate of work was smoothed from nothing: seconds went by with the cold ones idle. */
+    @Test
+    void aRestartedBalancerSoonUsesColdUpstreams() {
+        config.group = 14;
+        Host h = Host.of(config).list(22);
+        for (int i = 0; i < 100; i++) {
+            h.serve(0, 20 * MILLI, u -> 0.8);
+        }
+        h.perUpstream.clear();
+        for (int i = 0; i < 20; i++) {
+            h.change(Host.up(i, State.READY, h.now));
+        }
+        for (int i = 20; i < 22; i++) {
+            h.change(Host.up(i, State.GONE, 0));
+        }
+        for (int i = 0; i < 100; i++) {
+            String id = h.request(0, 2 * SECOND);
+            h.advance(20 * MILLI);
+            if (h.lastUpstream(id) != null) {
+                h.end(id, Outcome.OK, 20 * MILLI, Host.report(0.1));
+            }
+        }
+        int sent = h.perUpstream.values().stream().mapToInt(n -> n).sum();
+        assertTrue(sent > 20, "sent " + sent);
+    }
+
     /** A request dearer than the mean never had the budget, though it is the one that can bear to wait. */
     @Test
     void aDearRequestMayGoToAColdUpstream() {
