Pause after an answer where a limit is under 1: 14 balancers made long lines

Line at fault: hasRoom takes a limit under 1 as 1, which is no limit at all when 14 balancers have one each out. Now the limit holds on average: after an answer an upstream rests, down to FIRST_TOTAL in flight by all together; in groups of up to 3 nothing changes.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -132,6 +132,7 @@
         // health
         double limit, least, took, errors;
         long cutAt, leastAt, progressAt, answeredAt = NEVER, ejectedUntil, ejection = FIRST_EJECTION;
+        long pausedUntil;
         boolean hanging;
         // cold-start budget
         double doneRate, doneWork, tokens;
@@ -466,7 +467,18 @@
             double care = asks ? AIM_CARE : TOLD_CARE;
             return line < 1 - 1 / UNIT_PARTS || (line + size(r)) * up.pace <= care * (r.aimAt - now);
         }
-        return up.inFlight + others(up, now) + 1 <= Math.max(1, up.limit * warmth(up, now));
+        return now >= up.pausedUntil
+                && up.inFlight + others(up, now) + 1 <= Math.max(1, up.limit * warmth(up, now));
+    }
+
+    /**
+     * The pause that makes an in-flight limit under 1 true on average. With many balancers one request of
+     * each is a long line, and taken as 1 such a limit shortened it no further. A short line by all together
+     * is always left.
+     */
+    private long pauseAfter(Up up, long took, long now) {
+        double limit = Math.max(FIRST_TOTAL / settings.groupSize(), up.limit * warmth(up, now));
+        return limit < 1 ? (long) (took * (1 / limit - 1)) : 0;
     }
 
     private double zoneFactor(Up up) {
@@ -558,6 +570,7 @@
             t.up.inFlight--;
             t.up.workInFlight -= r.cost;
             noteOutcome(t.up, r, t, end, now);
+            t.up.pausedUntil = Math.max(t.up.pausedUntil, now + pauseAfter(t.up, end.took(), now));
             tell(t.up, now);
         }
         if (end.concluded()) {
