Take a class's time as a mean at first: restarted balancers refused all lookups held

Lines at fault: noteOutcome smooths classTook by 0.02 an answer from the first one on, so 18 answers a second need seconds to leave it; shed goes by it.

Ruled out: upstreams (the balancers that stayed up are answered in 0.09 s at that time), connections (1 failure a second after the list came).

Without the change the test's held lookup is refused.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -85,7 +85,7 @@
     private final TreeSet<Req> held = new TreeSet<>(
             Comparator.<Req>comparingDouble(r -> -r.value).thenComparingLong(r -> -r.number));
     private final double[] classTook, refusedAfter, tenantTokens;
-    private final long[] tenantAt;
+    private final long[] tenantAt, classAnswers;
     private long requestNumber, requestsSince, ratePeriods;
     private long nextReweight, nextProbe, nextSweep, decideAt;
     private long askAgainAt = Long.MAX_VALUE, dueAt = Long.MAX_VALUE;
@@ -113,6 +113,7 @@
         this.tenantAt = new long[settings.tenants().size()];
         this.refusedAfter = new double[settings.classes().size()];
         this.classTook = new double[settings.classes().size()];
+        this.classAnswers = new long[settings.classes().size()];
     }
 
     private static final class Up {
@@ -350,7 +351,8 @@
             typicalTook = smooth(typicalTook, end.took(), SMOOTH_ALL);
             adjustLimit(up, t, waitOf(up, r, end.took(), now), r.cls.aim(), now);
             int c = r.request.classIndex();
-            classTook[c] = smooth(classTook[c], end.took(), SMOOTH_ALL);
+            double share = Math.max(SMOOTH_ALL, 1.0 / ++classAnswers[c]); // first ones are slow
+            classTook[c] = smooth(classTook[c], end.took(), share);
         } else if (end.outcome() == Outcome.TIMEOUT || end.outcome() == Outcome.CANCELLED) {
             // No answer is the longest waiting there is; the work may still run there.
             up.pace = Math.max(up.pace, smooth(up.pace, end.took() / Math.max(1, t.line), SMOOTH));
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -333,6 +333,29 @@
         assertTrue(sent <= 2, "sent " + sent);
     }
 
+    /**
+     * A restarted balancer's first answers are slow by its own cold code. As long as they made up what a
+     * class was held to take, it refused all that it held, while upstreams stood idle.
+     */
+    @Test
+    void firstSlowAnswersAreSoonForgottenInWhatAClassTakes() {
+        config.lateWorth = 0;
+        Host h = Host.of(config).list(1);
+        for (int i = 0; i < 32; i++) {
+            String id = h.request(0, 2 * SECOND);
+            long took = i < 8 ? 700 * MILLI : 20 * MILLI;
+            h.advance(took);
+            h.end(id, Outcome.OK, took, null);
+        }
+        String held = h.request(0, 2 * SECOND);
+        while (h.lastUpstream(held) != null) {
+            held = h.request(0, 2 * SECOND);
+        }
+        h.advance(SECOND / 10);
+        assertNull(h.lastUpstream(held));
+        assertFalse(h.refused.contains(held));
+    }
+
     /** A limit under 1 counted as 1: 14 balancers went on sending a full upstream 14 requests at a time. */
     @ParameterizedTest(name = "{0} balancers")
     @CsvSource({"1, 0", "14, 100"})
