Begin in-flight limits at 1 and bound the pause: restarted balancers stood by

Lines at fault: apply's first limit, FIRST_TOTAL by all, which meant nothing while limits under 1 counted as 1; pauseAfter's use of any answer's time.

The test fails without the change: the second request is held.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -228,7 +228,7 @@
             up.logWeight = learnt;
             up.weight = Math.exp(learnt);
             up.pace = typicalPace;
-            up.limit = Math.max(LEAST_LIMIT, FIRST_TOTAL / settings.groupSize());
+            up.limit = Math.max(1, FIRST_TOTAL / settings.groupSize());
             up.tokens = firstTokens();
             up.tokensAt = now;
             up.offeredAt = now;
@@ -476,11 +476,11 @@
     /**
      * The pause that makes an in-flight limit under 1 true on average. With many balancers one request of
      * each is a long line, and taken as 1 such a limit shortened it no further. A short line by all together
-     * is always left.
+     * is always left. The time is bounded: a starting balancer's first answers wait for its own cold code.
      */
     private long pauseAfter(Up up, long took, long now) {
         double limit = Math.max(FIRST_TOTAL / settings.groupSize(), up.limit * warmth(up, now));
-        return limit < 1 ? (long) (took * (1 / limit - 1)) : 0;
+        return limit < 1 ? (long) (Math.min(took, waitTarget / waitShare / 2) * (1 / limit - 1)) : 0;
     }
 
     private double zoneFactor(Up up) {
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -380,6 +380,19 @@
         assertTrue(pause >= leastPauseMs && pause < 2_000, "paused for " + pause + " ms");
     }
 
+    /** It began as if it had seen waits, and after a restart left an idle fleet nearly unused. */
+    @Test
+    void beforeAnyWaitWasSeenThereIsNoPause() {
+        config.group = 14;
+        Host h = Host.of(config).list(1);
+        for (int i = 0; i < 20; i++) {
+            String id = h.request(0, 2 * SECOND);
+            assertEquals("u0", h.lastUpstream(id));
+            h.advance(20 * MILLI);
+            h.end(id, Outcome.OK, 20 * MILLI, null);
+        }
+    }
+
     @Test
     void withRoomNothingIsHeld() {
         Host h = Host.of(config).list(4);
