Let the pause before a failed watch is asked for again double up to 4 s

Seen in Balance.upstreams: each failure is followed by a new call after 0.5 to 1.5 s without end, from each balancer of a fleet alike. The pause begins at a mean of 1 s, doubles up to 4 s, is jittered by half and begins anew with a list; that stays within ask-within for a failed call.

The test fails without the change: after five failures the pause is still 1.04 s.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -60,6 +60,7 @@
     private static final double PROBE_POINTS = 0.003; // points that slow steady probing may cost
     private static final long PROBE_GAP = 300_000; // no upstream is probed more often than this by it
     private static final long ASK_AGAIN = 1_000_000; // mean pause before a failed subscription is tried again
+    private static final long LONGEST_ASK_AGAIN = 4_000_000; // the pause doubles up to this: drains are due
     private static final double COLD_SPREAD = 5; // standard deviations kept free of a cold upstream's budget
     private static final double COLD_COST = 1.2; // least bucket for a cold upstream, in mean requests
     private static final double RATE_SHARE = 0.08; // smoothing of each period into the rate of work done
@@ -86,7 +87,7 @@
             Comparator.<Req>comparingDouble(r -> -r.value).thenComparingLong(r -> -r.number));
     private final double[] classTook, refusedAfter, tenantTokens;
     private final long[] tenantAt, classAnswers;
-    private long requestNumber, requestsSince, ratePeriods;
+    private long requestNumber, requestsSince, ratePeriods, askPause;
     private long nextReweight, nextProbe, nextSweep, decideAt;
     private long askAgainAt = Long.MAX_VALUE, dueAt = Long.MAX_VALUE;
     private double requestRate, typicalTook, typicalPace, unitTook, warmRate, meanCost, askTokens;
@@ -202,9 +203,11 @@
 
     @Override public void upstreams(long now, ListKind kind, List<Upstream> entries) {
         if (kind == ListKind.UNAVAILABLE) {
-            askAgainAt = now + jitter(ASK_AGAIN);
+            askPause = Math.min(LONGEST_ASK_AGAIN, askPause == 0 ? ASK_AGAIN : 2 * askPause);
+            askAgainAt = now + jitter(askPause);
             return;
         }
+        askPause = 0;
         if (kind != ListKind.CHANGES) {
             byId.keySet().retainAll(entries.stream().map(Upstream::id).toList());
         }
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -849,6 +849,34 @@
         assertTrue(Host.of(config).done.isEmpty());
     }
 
+    /** A whole fleet went on calling an overbooked discovery at one pace, however long it failed. */
+    @Test
+    void aFailedSubscriptionIsTriedAgainAfterGrowingPausesUntilAListComes() {
+        config.ask = true;
+        Host h = Host.of(config).list(2);
+        long first = pauseAfterFailure(h);
+        assertTrue(first >= SECOND / 2 && first <= 2 * SECOND, "first after " + first);
+        for (int i = 0; i < 4; i++) {
+            pauseAfterFailure(h);
+        }
+        long grown = pauseAfterFailure(h);
+        assertTrue(grown >= 2 * SECOND && grown <= 7 * SECOND, "in the end after " + grown);
+        h.change(Host.up(1, State.DRAINING, 0));
+        assertTrue(pauseAfterFailure(h) <= 2 * SECOND);
+    }
+
+    /** How long after a failure the list is asked for again. */
+    private static long pauseAfterFailure(Host h) {
+        long failed = h.now;
+        h.done.clear();
+        h.balancer.upstreams(h.now, ListKind.UNAVAILABLE, List.of());
+        while (h.done.stream().noneMatch(line -> line.endsWith("watch true"))) {
+            assertTrue(h.now - failed < 60 * SECOND, "never asked again");
+            h.advance(10 * MILLI);
+        }
+        return h.now - failed;
+    }
+
     @Test
     void aStreamThatHasBegunIsLeftAlone() {
         config.stream = true;
