Drive the rehearsal's loop on the main thread: its own thread spun at some starts

Caught from outside in: the second event loop, the rehearsal's, had used 7.75 s of CPU and was running, all other threads of the process were in a futex wait, the main thread with 0.16 s among them.

Not known is why it spins: the stack was not caught, and 460 starts on one core with first-in-first-out scheduling brought none. What is certain is which thread it is. Main now drives that loop itself and sleeps a millisecond when there is nothing to do, so nothing is handed from thread to thread in a rehearsal.

The test fails without the change, on a started thread more.

--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -77,9 +78,9 @@
         this.drained = loop.newPromise();
     }
 
-    /** Listens; fails if the address can't be had. */
-    void bind(Transport transport, InetSocketAddress address) throws InterruptedException {
-        listening = transport.server(loop)
+    /** Begins to listen; the future fails if the address can't be had. */
+    ChannelFuture bind(Transport transport, InetSocketAddress address) {
+        ChannelFuture bound = transport.server(loop)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         Session session = new Session(channel);
@@ -87,7 +88,9 @@
                                 new HttpServerKeepAliveHandler(),
                                 new HttpObjectAggregator(Upstreams.MAX_BODY), session);
                     }
-                }).bind(transport.address(address)).sync().channel();
+                }).bind(transport.address(address));
+        listening = bound.channel();
+        return bound;
     }
 
     /** From here on health is good, once there is a list to serve from. */
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -113,8 +113,13 @@
                     config.known().version(), driver), config.known());
             return new ClientServer(loop, driver, config.facts(), forClients);
         };
+        if (loop.inEventLoop()) { // whoever drives the loop can't wait for it
+            ClientServer server = start.call();
+            server.bind(transport, config.listen());
+            return server;
+        }
         ClientServer server = loop.submit(start).get();
-        server.bind(transport, config.listen());
+        server.bind(transport, config.listen()).sync();
         return server;
     }
 }
--- a/src/main/java/yewyoke/node/Rehearsal.java
+++ b/src/main/java/yewyoke/node/Rehearsal.java
@@ -3,11 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ManualIoEventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -23,7 +22,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import yewyoke.Balancer.Effect;
@@ -48,13 +46,13 @@
     private static final int UPSTREAMS = 4;
     private static final int BODY = 1_000;
     private final Config config;
-    private final EventLoop loop;
-    private final CountDownLatch left = new CountDownLatch(REQUESTS);
+    private final ManualIoEventLoop loop;
+    private int left = REQUESTS;
     private int sent;
     private int answered;
-    private volatile int served;
+    private int served;
 
-    private Rehearsal(Config config, EventLoop loop) {
+    private Rehearsal(Config config, ManualIoEventLoop loop) {
         this.config = config;
         this.loop = loop;
     }
@@ -64,9 +62,10 @@
      * how many requests were served.
      */
     static int run(Config config) throws InterruptedException {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
+        ManualIoEventLoop loop =
+                new ManualIoEventLoop(Thread.currentThread(), LocalIoHandler.newFactory());
         try {
-            Rehearsal rehearsal = new Rehearsal(config, group.next());
+            Rehearsal rehearsal = new Rehearsal(config, loop);
             rehearsal.play();
             LOG.log(System.Logger.Level.INFO, "rehearsed with " + rehearsal.served + " requests");
             return rehearsal.served;
@@ -76,31 +75,58 @@
             LOG.log(System.Logger.Level.WARNING, "could not rehearse, so the start is cold", e);
             return 0;
         } finally {
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            while (!loop.isTerminated()) {
+                loop.runNow();
+            }
+        }
+    }
+
+    /**
+     * One turn of the loop, on the caller's thread: on a thread of its own the loop was seen to spin for
+     * good at a start, where only one thread runs at a time.
+     */
+    private void turn() throws InterruptedException {
+        if (loop.runNow() == 0) {
+            Thread.sleep(1);
         }
     }
 
+    private void await(ChannelFuture future) throws Exception {
+        while (!future.isDone()) {
+            turn();
+        }
+        future.sync();
+    }
+
     private void play() throws Exception {
         List<ServerList.Entry> upstreams = IntStream.range(0, UPSTREAMS).mapToObj(this::upstream).toList();
         for (ServerList.Entry u : upstreams) {
-            Transport.MEMORY.server(loop).childHandler(new ChannelInitializer<Channel>() {
+            await(Transport.MEMORY.server(loop).childHandler(new ChannelInitializer<Channel>() {
                 @Override protected void initChannel(Channel channel) {
                     channel.pipeline().addLast(new HttpServerCodec(),
                             new HttpObjectAggregator(Upstreams.MAX_BODY), new Upstream());
                 }
-            }).bind(Transport.MEMORY.address(u.addr())).sync();
+            }).bind(Transport.MEMORY.address(u.addr())));
+        }
+        Config rehearsed = new Config(config.listen(), config.discovery(), config.seed(), config.sockets(),
+                new ServerList(0, true, upstreams), config.facts());
+        ClientServer server = Main.serve(rehearsed, loop, Transport.MEMORY);
+        while (server.address() == null) {
+            turn();
         }
-        Main.serve(new Config(config.listen(), config.discovery(), config.seed(), config.sockets(),
-                new ServerList(0, true, upstreams), config.facts()), loop, Transport.MEMORY);
         for (int i = 0; i < CLIENTS; i++) {
-            Transport.MEMORY.client(loop).handler(new ChannelInitializer<Channel>() {
+            await(Transport.MEMORY.client(loop).handler(new ChannelInitializer<Channel>() {
                 @Override protected void initChannel(Channel channel) {
                     channel.pipeline().addLast(new HttpClientCodec(),
                             new HttpObjectAggregator(Upstreams.MAX_BODY), new Client());
                 }
-            }).connect(Transport.MEMORY.address(config.listen())).sync();
+            }).connect(Transport.MEMORY.address(config.listen())));
+        }
+        long begun = System.nanoTime();
+        while (left > 0 && System.nanoTime() - begun < TimeUnit.MILLISECONDS.toNanos(LONGEST_MS)) {
+            turn();
         }
-        left.await(LONGEST_MS, TimeUnit.MILLISECONDS);
     }
 
     private ServerList.Entry upstream(int number) {
@@ -131,8 +157,8 @@
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
             served += answer.status().code() == HttpResponseStatus.OK.code() ? 1 : 0;
-            left.countDown();
-            if (left.getCount() > 0) {
+            left--;
+            if (left > 0) {
                 send(ctx);
             }
         }
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -675,6 +675,17 @@
         assertTrue(discovery.accepted.isEmpty());
     }
 
+    /** On a thread of its own the rehearsal's loop spun for good where only one thread runs at a time. */
+    @Test
+    void rehearsalStartsNoThread() throws Exception {
+        Config config = config(ready(server(SERVE)), server(HANG));
+        Rehearsal.run(config);
+        var threads = java.lang.management.ManagementFactory.getThreadMXBean();
+        long before = threads.getTotalStartedThreadCount();
+        Rehearsal.run(config);
+        assertEquals(before, threads.getTotalStartedThreadCount());
+    }
+
     /** What the build runs to have the loaded classes kept for the starts to come. */
     @Test
     void rehearseCommandEndsByItself() {
