Count only the rehearsal's own threads in rehearsalStartsNoThread

Seen: on a new machine the first mvn -B verify failed, 133 threads expected and 134 found. The test counted all threads that the JVM had ever started; a late one of an earlier test moves that count. It now hands a thread-local on to the threads that the rehearsal's own thread makes, which no other test can touch.

--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -675,15 +676,27 @@
         assertTrue(discovery.accepted.isEmpty());
     }
 
-    /** On a thread of its own the rehearsal's loop spun for good where only one thread runs at a time. */
+    /**
+     * On a thread of its own the rehearsal's loop spun for good where only one thread runs at a time. What is
+     * handed on from thread to thread counts those that the rehearsal makes, and none of another test's.
+     */
     @Test
     void rehearsalStartsNoThread() throws Exception {
         Config config = config(ready(server(SERVE)), server(HANG));
-        Rehearsal.run(config);
-        var threads = java.lang.management.ManagementFactory.getThreadMXBean();
-        long before = threads.getTotalStartedThreadCount();
-        Rehearsal.run(config);
-        assertEquals(before, threads.getTotalStartedThreadCount());
+        List<String> makers = new CopyOnWriteArrayList<>();
+        InheritableThreadLocal<Boolean> handedOn = new InheritableThreadLocal<>() {
+            @Override protected Boolean childValue(Boolean parent) {
+                makers.add(Thread.currentThread().getName());
+                return parent;
+            }
+        };
+        handedOn.set(true);
+        try {
+            Rehearsal.run(config);
+        } finally {
+            handedOn.remove();
+        }
+        assertEquals(List.of(), makers);
     }
 
     /** What the build runs to have the loaded classes kept for the starts to come. */
