Listen only after the rehearsal: requests that came during it were lost

In the first second after opening the loop is late by 80 ms at most, so accepting faster than answering and timers behind reads are not the cause here. At fault: Main.run bound the address (Main.serve) before Rehearsal.run, and the machine takes connections from then on.

Now the node follows discovery, rehearses, and listens last. A SIGTERM before that ends at once: nothing was taken. noClientCanComeBeforeTheRehearsalHasEnded fails without the change.

--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -65,7 +65,7 @@
     /** The connections between requests. */
     private final Set<Session> idle = new LinkedHashSet<>();
     private final Promise<Void> drained;
-    private Channel listening;
+    private volatile Channel listening;
     private boolean open;
     private boolean stopping;
     private boolean closing;
@@ -110,9 +110,13 @@
     /**
      * A planned stop: goes on as before while clients still come, but in ill health; then answers all that
      * was taken, the last of it as failed when time runs out, and closes connections between requests. The
-     * future is done when nothing can be pending any more.
+     * future is done when nothing can be pending any more; at once if no client could come yet.
      */
     Promise<Void> drain(long keepAcceptingMs, long lastAnswerMs) {
+        if (listening == null) {
+            drained.trySuccess(null);
+            return drained;
+        }
         loop.execute(() -> stopping = true);
         loop.schedule(() -> {
             closing = true;
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -1,5 +1,6 @@
 package yewyoke.node;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -62,18 +63,21 @@
             }
             Path file = Path.of(config);
             Config found = Config.read(file);
-            ClientServer server = serve(found, group.next(), Transport.TCP);
+            ClientServer server = follow(found, group.next(), Transport.TCP);
+            if (!rehearse) {
+                HangUp.handle(() -> reload(file, server));
+                // On SIGTERM the JVM waits for this hook while the event loop goes on.
+                Runtime.getRuntime().addShutdownHook(
+                        new Thread(() -> stop(found, server).awaitUninterruptibly()));
+            }
+            int served = Rehearsal.run(found);
+            // Not before: the machine takes connections from here on, and requests on them are ours to answer.
+            server.bind(Transport.TCP, found.listen()).sync();
+            server.open();
             if (rehearse) {
-                int served = Rehearsal.run(found);
                 group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
                 return served > 0 ? 0 : 1;
             }
-            HangUp.handle(() -> reload(file, server));
-            // On SIGTERM the JVM waits for this hook while the event loop goes on.
-            Runtime.getRuntime().addShutdownHook(
-                    new Thread(() -> stop(found, server).awaitUninterruptibly()));
-            Rehearsal.run(found);
-            server.open();
             return 0;
         } catch (Exception e) {
             err.println("can't serve: " + e.toString().lines().findFirst().orElse(""));
@@ -102,6 +106,16 @@
 
     /** Starts a balancer that is ready once opened; all of it lives on the one event loop. */
     static ClientServer serve(Config config, EventLoop loop, Transport transport) throws Exception {
+        ClientServer server = follow(config, loop, transport);
+        ChannelFuture bound = server.bind(transport, config.listen());
+        if (!loop.inEventLoop()) { // whoever drives the loop can't wait for it
+            bound.sync();
+        }
+        return server;
+    }
+
+    /** Brings up a balancer that follows discovery already, but to which no client can come yet. */
+    private static ClientServer follow(Config config, EventLoop loop, Transport transport) throws Exception {
         Callable<ClientServer> start = () -> {
             int descriptors = Math.max(0, config.sockets() - OWN_DESCRIPTORS);
             int forClients = Math.max(1, (int) (CLIENT_PART * descriptors));
@@ -113,13 +127,6 @@
                     config.known().version(), driver), config.known());
             return new ClientServer(loop, driver, config.facts(), forClients);
         };
-        if (loop.inEventLoop()) { // whoever drives the loop can't wait for it
-            ClientServer server = start.call();
-            server.bind(transport, config.listen());
-            return server;
-        }
-        ClientServer server = loop.submit(start).get();
-        server.bind(transport, config.listen()).sync();
-        return server;
+        return loop.inEventLoop() ? start.call() : loop.submit(start).get();
     }
 }
--- a/src/test/java/yewyoke/node/ProcessTest.java
+++ b/src/test/java/yewyoke/node/ProcessTest.java
@@ -4,6 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
@@ -18,8 +25,12 @@
     @TempDir Path folder;
 
     private Path config(String discovery) throws Exception {
-        return Files.writeString(folder.resolve("config.json"), "{\"listen\":\"127.0.0.1:0\",\"discovery\":\""
-                + discovery + "\",\"seed\":\"1\",\"known\":{\"version\":7,\"full\":true,\"servers\":[]},"
+        return config("127.0.0.1:0", discovery);
+    }
+
+    private Path config(String listen, String discovery) throws Exception {
+        return Files.writeString(folder.resolve("config.json"), "{\"listen\":\"" + listen
+                + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"1\",\"known\":{\"version\":7,\"full\":true,\"servers\":[]},"
                 + "\"settings\":{\"localities\":[\"z\"],\"kinds\":[\"k\"],\"classes\":[{\"name\":\"look\","
                 + "\"repeat\":\"free\",\"aim-s\":1,\"give-up-s\":2,\"worth\":1}],\"group-size\":1,"
                 + "\"ceilings\":{\"try-limit\":2,\"connect-timeout-s\":0.25,\"conn-idle-s\":9},"
@@ -32,16 +43,57 @@
         }
     }
 
+    private static ProcessBuilder serve(Path config) {
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "serve");
+        builder.environment().put("NODE_CONFIG", config.toString());
+        return builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
+    }
+
+    /**
+     * The machine took connections all through the rehearsal, and each request on them was ours to answer:
+     * of a fleet that came back together thousands were lost.
+     */
+    @Test
+    void noClientCanComeBeforeTheRehearsalHasEnded() throws Exception {
+        InetSocketAddress listen;
+        try (ServerSocket free = new ServerSocket()) {
+            free.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+            listen = (InetSocketAddress) free.getLocalSocketAddress();
+        }
+        File log = folder.resolve("log").toFile();
+        try (Server discovery = new Server((m, s) -> Sockets.beginChunks(s))) {
+            Process process = serve(config("127.0.0.1:" + listen.getPort(), discovery.addr()))
+                    .redirectError(log).start();
+            try {
+                while (!connects(listen)) {
+                    assertTrue(process.isAlive(), "ended: " + Files.readString(log.toPath()));
+                }
+                assertTrue(Files.readString(log.toPath()).contains("rehearsed with"), "still rehearsing");
+            } finally {
+                process.destroyForcibly().waitFor();
+            }
+        }
+    }
+
+    private static boolean connects(InetSocketAddress to) throws IOException {
+        try (Socket socket = new Socket()) {
+            // From another address: from the same one a socket can meet itself on a port that is free.
+            socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.2"), 0));
+            socket.connect(to);
+            return true;
+        } catch (ConnectException e) {
+            return false;
+        }
+    }
+
     /** The signal ended the process, and with it all that it had taken. */
     @Test
     void hangUpSignalMovesTheWatchToTheNewAddressAndKeepsItUp() throws Exception {
         try (Server before = new Server((m, s) -> Sockets.beginChunks(s));
                 Server after = new Server((m, s) -> Sockets.beginChunks(s))) {
-            ProcessBuilder builder = new ProcessBuilder(
-                    Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                    System.getProperty("java.class.path"), Main.class.getName(), "serve");
-            builder.environment().put("NODE_CONFIG", config(before.addr()).toString());
-            Process process = builder.redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+            Process process = serve(config(before.addr())).start();
             try (BufferedReader log = process.errorReader()) {
                 await(log, "rehearsed with");
                 assertTrue(Sockets.next(before.requests).start().contains("follow=1&since=7"));
