--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -71,7 +71,7 @@
                         new Thread(() -> stop(found, server).awaitUninterruptibly()));
             }
             int served = Rehearsal.run(found);
-            // Not before: the machine takes connections from here on, and requests on them are ours to answer.
+            // Not before: the machine takes connections from here on, and their requests are ours to answer.
             server.bind(Transport.TCP, found.listen()).sync();
             server.open();
             if (rehearse) {
--- a/src/test/java/yewyoke/node/ProcessTest.java
+++ b/src/test/java/yewyoke/node/ProcessTest.java
@@ -30,7 +30,8 @@
 
     private Path config(String listen, String discovery) throws Exception {
         return Files.writeString(folder.resolve("config.json"), "{\"listen\":\"" + listen
-                + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"1\",\"known\":{\"version\":7,\"full\":true,\"servers\":[]},"
+                + "\",\"discovery\":\"" + discovery
+                + "\",\"seed\":\"1\",\"known\":{\"version\":7,\"full\":true,\"servers\":[]},"
                 + "\"settings\":{\"localities\":[\"z\"],\"kinds\":[\"k\"],\"classes\":[{\"name\":\"look\","
                 + "\"repeat\":\"free\",\"aim-s\":1,\"give-up-s\":2,\"worth\":1}],\"group-size\":1,"
                 + "\"ceilings\":{\"try-limit\":2,\"connect-timeout-s\":0.25,\"conn-idle-s\":9},"
