Give the reading of settings a package of its own and test the package graph

Both classes are in yewyoke.settings now; the kinds of events, which only the adapter reads, went to Batches.

--- a/src/main/java/yewyoke/adapter/Batches.java
+++ b/src/main/java/yewyoke/adapter/Batches.java
@@ -12,6 +12,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import yewyoke.Balancer.AttemptEnd;
 import yewyoke.Balancer.ListKind;
 import yewyoke.Balancer.LoadReport;
@@ -20,11 +21,15 @@
 import yewyoke.Balancer.Settings;
 import yewyoke.Balancer.State;
 import yewyoke.Balancer.Upstream;
+import yewyoke.settings.BadInput;
+import yewyoke.settings.SettingsReader;
 
 /** Reads one batch at a time and hands its events to the instances. */
 final class Batches {
     private static final JsonFactory JSON = JsonFactory.builder()
             .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION).build();
+    private static final Set<String> EVENTS = Set.of("create", "destroy", "sync", "work-item", "answer",
+            "ping-result", "client-gone", "opened", "reminder", "whisper");
     private static final Outcome[] OUTCOMES = Outcome.values();
     private static final Map<String, State> STATES = Map.of(
             "Ready", State.READY, "Terminating", State.DRAINING, "Gone", State.GONE);
@@ -91,7 +96,7 @@
                     if (inputFirst) {
                         json.skipChildren();
                     } else {
-                        events(json, micros(now));
+                        events(json, SettingsReader.micros(now));
                     }
                 } else {
                     json.skipChildren();
@@ -110,7 +115,7 @@
             throw new BadInput("no array of events (input)");
         }
         if (inputFirst) {
-            again(line, length, micros(now));
+            again(line, length, SettingsReader.micros(now));
         }
         return replies.end();
     }
@@ -264,12 +269,12 @@
         }
         required(id != null, "upstream (in elements)");
         required(state != null, "readiness (in elements)");
-        return new Upstream(id, zone, kind, cell, state, rating, micros(launched));
+        return new Upstream(id, zone, kind, cell, state, rating, SettingsReader.micros(launched));
     }
 
     private void dispatch(Event e, long now) throws BadInput {
         required(e.kind != null, "kind");
-        if (!SettingsReader.EVENTS.contains(e.kind)) {
+        if (!EVENTS.contains(e.kind)) {
             err.println("skipped an event of unknown kind " + e.kind);
             return;
         }
@@ -322,7 +327,8 @@
         required(!Double.isNaN(e.budget), "time-budget-s");
         int lane = whole(e.lane, "lane");
         Request request = new Request(e.corr, lane, Double.isNaN(e.party) ? 0 : (int) e.party, e.entity,
-                Double.isNaN(e.effort) ? 0 : micros(e.effort), micros(e.budget), e.write, e.retry);
+                Double.isNaN(e.effort) ? 0 : SettingsReader.micros(e.effort), SettingsReader.micros(e.budget),
+                e.write, e.retry);
         desk.tell(who, b -> b.request(now, request));
     }
 
@@ -356,7 +362,7 @@
 
     private static long took(Event e) throws BadInput {
         required(!Double.isNaN(e.took), "took-s");
-        return micros(e.took);
+        return SettingsReader.micros(e.took);
     }
 
     private static Outcome outcome(Event e) throws BadInput {
@@ -383,10 +389,6 @@
         return new LoadReport(r[0], r[1], r[2], r[3] * 1_000, r[4], r[5]);
     }
 
-    static long micros(double seconds) {
-        return Math.round(seconds * 1e6);
-    }
-
     private static void required(boolean there, String field) throws BadInput {
         if (!there) {
             throw new BadInput("field " + field + " is missing or not understood");
--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -37,8 +37,8 @@
 import yewyoke.Balancer.Effect;
 import yewyoke.Balancer.Request;
 import yewyoke.Balancer.RequestClass;
-import yewyoke.adapter.BadInput;
-import yewyoke.adapter.SettingsReader;
+import yewyoke.settings.BadInput;
+import yewyoke.settings.SettingsReader;
 
 /** The side towards clients: takes requests in, and gives each its one answer. */
 final class ClientServer {
--- a/src/main/java/yewyoke/node/Config.java
+++ b/src/main/java/yewyoke/node/Config.java
@@ -9,8 +9,8 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import yewyoke.adapter.BadInput;
-import yewyoke.adapter.SettingsReader;
+import yewyoke.settings.BadInput;
+import yewyoke.settings.SettingsReader;
 
 /** What this balancer is told at its start: addresses, limits, the list as last held, and the settings. */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
--- a/src/main/java/yewyoke/node/Discovery.java
+++ b/src/main/java/yewyoke/node/Discovery.java
@@ -31,7 +31,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer.ListKind;
-import yewyoke.adapter.BadInput;
+import yewyoke.settings.BadInput;
 
 /** Follows the list of upstreams: one watch, kept open from the version known, and single lists if asked. */
 final class Discovery {
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -28,7 +28,7 @@
 import yewyoke.Balancer.LoadReport;
 import yewyoke.Balancer.Outcome;
 import yewyoke.Balancer.Request;
-import yewyoke.adapter.SettingsReader;
+import yewyoke.settings.SettingsReader;
 
 /**
  * Owns the decision module and does for it on sockets what the simulator did: clock, timers, attempts and
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import yewyoke.adapter.Adapter;
-import yewyoke.adapter.BadInput;
+import yewyoke.settings.BadInput;
 
 /** Command line: {@code serve} runs one balancer on sockets, {@code adapter} the module on the simulator. */
 public final class Main {
--- a/src/main/java/yewyoke/node/ServerList.java
+++ b/src/main/java/yewyoke/node/ServerList.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import yewyoke.Balancer.State;
 import yewyoke.Balancer.Upstream;
-import yewyoke.adapter.BadInput;
-import yewyoke.adapter.SettingsReader;
+import yewyoke.settings.BadInput;
+import yewyoke.settings.SettingsReader;
 
 /** A list of upstreams, or changes of it, in discovery's form. */
 record ServerList(long version, boolean full, List<Entry> entries) {
--- a/src/main/java/yewyoke/adapter/BadInput.java
+++ b/src/main/java/yewyoke/settings/BadInput.java
@@ -1,4 +1,4 @@
-package yewyoke.adapter;
+package yewyoke.settings;
 
 /** A line of input that is not what the wire prescribes; the message says what is wrong with it. */
 public final class BadInput extends Exception {
--- a/src/main/java/yewyoke/adapter/SettingsReader.java
+++ b/src/main/java/yewyoke/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package yewyoke.adapter;
+package yewyoke.settings;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import yewyoke.Balancer.Effect;
 import yewyoke.Balancer.Limits;
 import yewyoke.Balancer.Prices;
@@ -21,9 +20,6 @@
 
 /** Reads the settings that an instance is created with. Keys it does not know are skipped. */
 public final class SettingsReader {
-    static final Set<String> EVENTS = Set.of("create", "destroy", "sync", "work-item", "answer",
-            "ping-result",
-            "client-gone", "opened", "reminder", "whisper");
     /** The values of a load report, in the order of the fields of the module's record. */
     public static final List<String> REPORTED =
             List.of("cpu", "active", "waiting", "avg_ms", "rps", "err_rps");
@@ -58,7 +54,7 @@
         }
 
         long time(String name) {
-            return Batches.micros(number(name, 0));
+            return micros(number(name, 0));
         }
 
         boolean flag(String name) {
@@ -176,4 +172,9 @@
             default -> { }
         }
     }
+
+    /** Microseconds of a time in seconds, rounded; 0 for one that is not a number. */
+    public static long micros(double seconds) {
+        return Math.round(seconds * 1e6);
+    }
 }
--- /dev/null
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -0,0 +1,39 @@
+package yewyoke;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Packages depend one way: a core knows no carrier, and nobody knows who is built on top of him. */
+class PackagesTest {
+    private static final JavaClasses PROGRAM = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("yewyoke");
+
+    /** Each package with all that it may use, the platform's own apart. */
+    @ParameterizedTest
+    @CsvSource({"yewyoke,", "yewyoke.settings,yewyoke com.fasterxml.jackson.core..",
+        "yewyoke.adapter,yewyoke yewyoke.settings com.fasterxml.jackson.core.."})
+    void aPackageUsesNoMoreThanIsSaid(String name, String others) {
+        String[] allowed = ("java.. " + name + (others == null ? "" : " " + others)).split(" ");
+        classes().that().resideInAPackage(name).should().onlyDependOnClassesThat()
+                .resideInAnyPackage(allowed).check(PROGRAM);
+    }
+
+    @Test
+    void ofTheNodeOnlyTheCommandLineKnowsTheAdapter() {
+        noClasses().that().resideInAPackage("yewyoke.node").and().doNotHaveSimpleName("Main")
+                .should().dependOnClassesThat().resideInAPackage("yewyoke.adapter").check(PROGRAM);
+    }
+
+    @Test
+    void noTwoPackagesNeedEachOther() {
+        slices().matching("yewyoke.(*)..").should().beFreeOfCycles().check(PROGRAM);
+    }
+}
