--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -19,7 +19,8 @@
     /** Each package with all that it may use, the platform's own apart. */
     @ParameterizedTest
     @CsvSource({"yewyoke,", "yewyoke.settings,yewyoke com.fasterxml.jackson.core..",
-        "yewyoke.adapter,yewyoke yewyoke.settings com.fasterxml.jackson.core.."})
+        "yewyoke.adapter,yewyoke yewyoke.settings com.fasterxml.jackson.core..", "yewyoke.lab.fault,",
+        "yewyoke.lab.virtual,yewyoke.lab.fault"})
     void aPackageUsesNoMoreThanIsSaid(String name, String others) {
         String[] allowed = ("java.. " + name + (others == null ? "" : " " + others)).split(" ");
         classes().that().resideInAPackage(name).should().onlyDependOnClassesThat()
@@ -32,6 +33,12 @@
                 .should().dependOnClassesThat().resideInAPackage("yewyoke.adapter").check(PROGRAM);
     }
 
+    @Test
+    void whatServesKnowsNoLab() {
+        noClasses().that().resideOutsideOfPackage("yewyoke.lab..").should().dependOnClassesThat()
+                .resideInAPackage("yewyoke.lab..").check(PROGRAM);
+    }
+
     @Test
     void noTwoPackagesNeedEachOther() {
         slices().matching("yewyoke.(*)..").should().beFreeOfCycles().check(PROGRAM);
