--- a/src/main/java/yewyoke/lab/fault/Fault.java
+++ b/src/main/java/yewyoke/lab/fault/Fault.java
@@ -26,6 +26,9 @@
     /** One direction of a link is as usual again. */
     record Heal(String from, String to) implements Fault { }
 
+    /** The connections between two processes break with a reset at both ends. */
+    record Reset(String one, String other) implements Fault { }
+
     /** All links are as usual again. */
     record HealAll() implements Fault { }
 }
--- a/src/main/java/yewyoke/lab/fault/Links.java
+++ b/src/main/java/yewyoke/lab/fault/Links.java
@@ -37,6 +37,11 @@
         faults.clear();
     }
 
+    /** Whether nothing comes over this direction now. */
+    public boolean cut(String from, String to) {
+        return faults.getOrDefault(new Direction(from, to), usual).cut();
+    }
+
     /**
      * The delays after which copies of a message sent now arrive: none if it is lost, mostly one. A message
      * that finds the link cut draws nothing, or the length of a cut would change what comes after it.
