--- a/src/main/java/yewyoke/node/Rehearsal.java
+++ b/src/main/java/yewyoke/node/Rehearsal.java
@@ -36,9 +36,9 @@
     private static final System.Logger LOG = System.getLogger(Rehearsal.class.getName());
     private static final int CLIENTS = 16;
     /**
-     * One on each connection is enough for every class of the common path to be loaded and linked, and that is
-     * most of what a first request costs. What is left cold is compiled while it serves, for some milliseconds
-     * a request; done here, nobody serves meanwhile, and in a fleet that comes back together that costs more.
+     * One on each connection is enough for every class of the common path to be loaded and linked, and that
+     * is most of what a first request costs. What is left cold is compiled while it serves, for some
+     * milliseconds a request; done here, nobody serves meanwhile, and that costs a fleet's clients more.
      */
     private static final int REQUESTS = CLIENTS;
     /** A restarted balancer is missed: rather open somewhat cold than late. */
