--- /dev/null
+++ b/src/main/java/yewyoke/lab/check/Checker.java
@@ -0,0 +1,193 @@
+package yewyoke.lab.check;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import yewyoke.lab.check.Violation.Kind;
+
+/**
+ * Follows each request from its client to the upstreams and back. It is told what both ends saw, in the order
+ * of time, and finds what breaks a rule. Times are microseconds of one clock.
+ */
+public final class Checker {
+    /** Repeats that a class of requests allows. */
+    public enum Repeat {
+        /** Any number of runs. */ FREE,
+        /** Repeats of its key within the memory of the upstreams. */ KEYED,
+        /** One run; a further attempt only after proof that none has run. */ SINGLE
+    }
+
+    private final Rules rules;
+    private final Map<String, Life> lives = new HashMap<>();
+    private final Map<String, Upstream> upstreams = new HashMap<>();
+    private final List<Violation> violations = new ArrayList<>();
+
+    /** Checks against these figures. */
+    public Checker(Rules rules) {
+        this.rules = rules;
+    }
+
+    private static final class Life {
+        final Repeat repeat;
+        final long memory;
+        final long deadline;
+        final List<Long> mayHaveRun = new ArrayList<>();
+        final List<String> made = new ArrayList<>();
+        boolean taken;
+        boolean done;
+
+        Life(Repeat repeat, long memory, long deadline) {
+            this.repeat = repeat;
+            this.memory = memory;
+            this.deadline = deadline;
+        }
+    }
+
+    private static final class Upstream {
+        final long startedAt;
+        final ColdWindow pushed;
+        final Map<String, Long> toldToLeave = new HashMap<>();
+        boolean overrun;
+
+        Upstream(long startedAt, ColdWindow pushed) {
+            this.startedAt = startedAt;
+            this.pushed = pushed;
+        }
+    }
+
+    // ---- What clients see ------------------------------------------------------------------------------
+
+    /** A client has begun to send; {@code memory} is how long upstreams drop a repeat of a keyed one. */
+    public void sent(String id, Repeat repeat, long memory, long deadline) {
+        lives.put(id, new Life(repeat, memory, deadline));
+    }
+
+    /** Its last byte is written to a connection that the balancer's machine accepted. */
+    public void taken(String id) {
+        lives.get(id).taken = true;
+    }
+
+    /** The whole of an answer has come; {@code made} is its body, or null if it was not a 200. */
+    public void answered(long now, String id, String made) {
+        Life life = lives.get(id);
+        if (life.done) {
+            broken(Kind.DOUBLE, now, id, "answered a second time");
+            return;
+        }
+        life.done = true;
+        if (made != null && !life.made.contains(made)) {
+            broken(Kind.SPOILT, now, id, "served with what no upstream made for it");
+        }
+        if (now > life.deadline + rules.answerSlack()) {
+            broken(Kind.LOST, now, id, "answered " + (now - life.deadline) / 1_000 + " ms after its time");
+        }
+    }
+
+    /**
+     * The balancer ended the connection with no whole answer. {@code excused} where that is no loss: an
+     * answer that was begun and could not be finished, or an idle connection that closed as the request came.
+     */
+    public void cutOff(long now, String id, boolean excused) {
+        Life life = lives.get(id);
+        if (!life.done && life.taken && !excused) {
+            broken(Kind.LOST, now, id, "its connection was ended with no answer");
+        }
+        life.done = true;
+    }
+
+    /** The client has left by itself, or the balancer's process was killed: nothing is owed any more. */
+    public void left(String id) {
+        lives.get(id).done = true;
+    }
+
+    // ---- What upstreams see ----------------------------------------------------------------------------
+
+    /** An upstream has started; {@code capacity} is the work that it can do in a microsecond, when warm. */
+    public void started(long now, String upstream, double capacity) {
+        upstreams.put(upstream, new Upstream(now, new ColdWindow(rules, capacity, now)));
+    }
+
+    /** Discovery has told a balancer that an upstream drains or is gone; the first time counts. */
+    public void toldToLeave(long now, String balancer, String upstream) {
+        upstreams.get(upstream).toldToLeave.putIfAbsent(balancer, now);
+    }
+
+    /** The first byte of an attempt has come to an upstream. */
+    public void attempt(long now, String balancer, String upstream, String id, double work) {
+        Upstream up = upstreams.get(upstream);
+        Long told = up.toldToLeave.get(balancer);
+        if (told != null && now > told + rules.drainGrace()) {
+            broken(Kind.AFTER_DRAIN, now, id, "sent by " + balancer + " to " + upstream + " "
+                    + (now - told) / 1_000 + " ms after it was told");
+        }
+        Life life = lives.get(id);
+        if (life == null) {
+            broken(Kind.FOREIGN, now, id, "came to " + upstream + ", but no client sent it");
+            return;
+        }
+        checkRepeat(now, upstream, id, life);
+        life.mayHaveRun.add(now);
+        checkCold(now, upstream, up, work);
+    }
+
+    private void checkRepeat(long now, String upstream, String id, Life life) {
+        if (life.mayHaveRun.isEmpty() || life.repeat == Repeat.FREE) {
+            return;
+        }
+        long since = now - life.mayHaveRun.get(0);
+        if (life.repeat == Repeat.SINGLE) {
+            broken(Kind.DOUBLE, now, id, "sent again to " + upstream + " though it may have run");
+        } else if (since > life.memory) {
+            broken(Kind.DOUBLE, now, id, "sent again to " + upstream + " " + since / 1_000
+                    + " ms after the first time, beyond the memory of its key");
+        }
+    }
+
+    private void checkCold(long now, String upstream, Upstream up, double work) {
+        double part = up.pushed.add(now, work);
+        if (part > 1 && !up.overrun) {
+            up.overrun = true;
+            broken(Kind.COLD_OVERRUN, now, upstream, "got " + Math.round(100 * part)
+                    + "% of what it can bear " + (now - up.startedAt) / 1_000 + " ms after its start");
+        }
+    }
+
+    /** An upstream has proved that an attempt never ran: it turned it away unseen. */
+    public void neverRan(String id, long attemptAt) {
+        Life life = lives.get(id);
+        if (life != null) {
+            life.mayHaveRun.remove(attemptAt);
+        }
+    }
+
+    /** An upstream has made this body for a request. */
+    public void made(String id, String body) {
+        Life life = lives.get(id);
+        if (life != null) {
+            life.made.add(body);
+        }
+    }
+
+    // ---- The end ---------------------------------------------------------------------------------------
+
+    /** Finds what has been owed for too long; forgets nothing. Call it as time goes on, and at the end. */
+    public void expire(long now) {
+        lives.forEach((id, life) -> {
+            if (life.taken && !life.done && now > life.deadline + rules.answerSlack()) {
+                life.done = true;
+                broken(Kind.LOST, now, id, "no answer by " + (now - life.deadline) / 1_000
+                        + " ms after its time");
+            }
+        });
+    }
+
+    /** All that was found so far, in the order of finding. */
+    public List<Violation> violations() {
+        return List.copyOf(violations);
+    }
+
+    private void broken(Kind kind, long now, String id, String text) {
+        violations.add(new Violation(kind, now, id, text));
+    }
+}
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -20,7 +20,8 @@
     @ParameterizedTest
     @CsvSource({"yewyoke,", "yewyoke.settings,yewyoke com.fasterxml.jackson.core..",
         "yewyoke.adapter,yewyoke yewyoke.settings com.fasterxml.jackson.core..", "yewyoke.lab.fault,",
-        "yewyoke.lab.virtual,yewyoke.lab.fault"})
+        "yewyoke.lab.virtual,yewyoke.lab.fault", "yewyoke.lab.check,",
+        "yewyoke.lab.stand,yewyoke.lab.check"})
     void aPackageUsesNoMoreThanIsSaid(String name, String others) {
         String[] allowed = ("java.. " + name + (others == null ? "" : " " + others)).split(" ");
         classes().that().resideInAPackage(name).should().onlyDependOnClassesThat()
