--- a/src/main/java/yewyoke/lab/check/Checker.java
+++ b/src/main/java/yewyoke/lab/check/Checker.java
@@ -171,15 +171,19 @@
 
     // ---- The end ---------------------------------------------------------------------------------------
 
-    /** Finds what has been owed for too long; forgets nothing. Call it as time goes on, and at the end. */
+    /** Finds all that has been owed for too long. */
     public void expire(long now) {
-        lives.forEach((id, life) -> {
-            if (life.taken && !life.done && now > life.deadline + rules.answerSlack()) {
-                life.done = true;
-                broken(Kind.LOST, now, id, "no answer by " + (now - life.deadline) / 1_000
-                        + " ms after its time");
-            }
-        });
+        lives.keySet().forEach(id -> overdue(now, id));
+    }
+
+    /** Finds whether this one has been owed for too long. */
+    public void overdue(long now, String id) {
+        Life life = lives.get(id);
+        if (life.taken && !life.done && now > life.deadline + rules.answerSlack()) {
+            life.done = true;
+            broken(Kind.LOST, now, id, "no answer by " + (now - life.deadline) / 1_000
+                    + " ms after its time");
+        }
     }
 
     /** All that was found so far, in the order of finding. */
--- a/src/main/java/yewyoke/lab/fault/Fault.java
+++ b/src/main/java/yewyoke/lab/fault/Fault.java
@@ -8,6 +8,9 @@
     /** A killed process starts again under its name; one that runs is killed first. */
     record Restart(String process) implements Fault { }
 
+    /** A planned end: the process is asked to finish what it has and to go. */
+    record Drain(String process) implements Fault { }
+
     /** The process stands still; what comes for it waits. */
     record Pause(String process) implements Fault { }
 
--- /dev/null
+++ b/src/main/java/yewyoke/lab/play/Fleet.java
@@ -0,0 +1,239 @@
+package yewyoke.lab.play;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Promise;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import yewyoke.lab.check.Checker;
+import yewyoke.lab.check.Rules;
+import yewyoke.lab.check.Violation;
+import yewyoke.lab.fault.Fault;
+import yewyoke.lab.fault.LinkFault;
+import yewyoke.lab.fault.Plan;
+import yewyoke.lab.relay.Relay;
+import yewyoke.lab.stand.Clients;
+import yewyoke.lab.stand.DiscoveryServer;
+import yewyoke.lab.stand.DiscoveryServer.Entry;
+import yewyoke.lab.stand.DiscoveryServer.State;
+import yewyoke.lab.stand.Front;
+import yewyoke.lab.stand.LabClock;
+import yewyoke.lab.stand.Traffic;
+import yewyoke.lab.stand.Traffic.Arrival;
+import yewyoke.lab.stand.UpstreamKind;
+import yewyoke.lab.stand.UpstreamServer;
+
+/**
+ * Balancers as processes, and all that surrounds them, on the loopback of this machine. Each way from a
+ * balancer to an upstream goes through a relay, so that it can fail alone. Closing ends every process.
+ */
+public final class Fleet implements AutoCloseable {
+    private static final long CALL_MICROS = 20_000;
+    private static final long LONGEST_CALL_WAIT = 1_000_000;
+    private static final long NOTICE_MICROS = 1_000_000;
+    private static final long LOOK_MS = 20;
+
+    private final Layout layout;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final LabClock clock = new LabClock();
+    private final Checker checker;
+    private final Relay relay;
+    private final Front front = new Front(NOTICE_MICROS);
+    private final DiscoveryServer discovery;
+    private final Clients clients;
+    private final Map<String, BalancerProcess> balancers = new LinkedHashMap<>();
+    private final Map<String, UpstreamServer> upstreams = new LinkedHashMap<>();
+    private final List<Ended> ended = new ArrayList<>();
+    /** Faults of processes wait for the machine; on the event loop they would make the lab late. */
+    private final ScheduledExecutorService hand = Executors.newSingleThreadScheduledExecutor();
+
+    /**
+     * What a fleet is made of. Balancers are named b0, b1 and so on, upstreams u0, u1 and so on.
+     *
+     * @param command starts one balancer
+     * @param folder takes configurations and logs
+     */
+    public record Layout(int balancers, int upstreams, UpstreamKind kind, Rules rules, Traffic traffic,
+            Clients.Retries retries, LinkFault links, long seed, List<String> command, Path folder) { }
+
+    /** What became of one first try; times are microseconds. */
+    public record Ended(Arrival arrival, Clients.Outcome outcome, long took, int tries, long sentLate) { }
+
+    /** What came of a play. */
+    public record Result(List<Ended> ended, List<Violation> violations, long discoveryCalls,
+            long connections) {
+        /** Part of the first tries that ended so. */
+        public double part(Clients.Outcome outcome) {
+            return ended.stream().filter(e -> e.outcome() == outcome).count() / (double) ended.size();
+        }
+
+        /** How late the lab itself sent, in microseconds, at a part of all first tries. */
+        public long lateness(double part) {
+            long[] late = ended.stream().mapToLong(Ended::sentLate).sorted().toArray();
+            return late[(int) Math.min(late.length - 1, part * late.length)];
+        }
+    }
+
+    /** Sets all up, and starts the processes. */
+    public Fleet(Layout layout) throws IOException, InterruptedException {
+        this.layout = layout;
+        this.checker = new Checker(layout.rules());
+        this.relay = new Relay(layout.seed(), layout.links());
+        this.discovery = new DiscoveryServer(loop, clock, checker, CALL_MICROS, LONGEST_CALL_WAIT);
+        this.clients = new Clients(loop, clock, checker, front, layout.traffic().classes(),
+                layout.retries(), layout.rules().answerSlack() + 1_000, layout.seed(),
+                (a, o, took, tries, late) -> ended.add(new Ended(a, o, took, tries, late)));
+        List<String> names = new ArrayList<>();
+        for (int b = 0; b < layout.balancers(); b++) {
+            names.add("b" + b);
+        }
+        List<Entry> entries = new ArrayList<>();
+        for (int u = 0; u < layout.upstreams(); u++) {
+            entries.add(upstream("u" + u, layout.rules().coldTime(), names));
+        }
+        loop.submit(() -> discovery.change(entries)).syncUninterruptibly();
+        for (String name : names) {
+            startBalancer(name, names.indexOf(name));
+        }
+        loop.execute(clients::watchHealth);
+        await(front::complete);
+    }
+
+    /** Starts an upstream with a way to it for each balancer; waits for the event loop, so not on it. */
+    private Entry upstream(String id, long age, List<String> names) {
+        UpstreamServer server = loop.submit(() -> new UpstreamServer(id, layout.kind(), age,
+                layout.seed() + id.hashCode(), loop, clock, checker, clients::workOf))
+                .syncUninterruptibly().getNow();
+        Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+        for (String name : names) {
+            addresses.put(name, relay.stream(name, id, server.openFor(name)));
+        }
+        loop.submit(() -> upstreams.put(id, server)).syncUninterruptibly();
+        long startedMs = age >= layout.rules().coldTime() ? 0 : clock.unixMillis(clock.micros());
+        return new Entry(id, addresses, "zone", "kind", State.READY, startedMs);
+    }
+
+    private void startBalancer(String name, int position) throws IOException, InterruptedException {
+        InetSocketAddress listen;
+        try (ServerSocket free = new ServerSocket()) {
+            free.bind(new InetSocketAddress("127.0.0.1", 0));
+            listen = (InetSocketAddress) free.getLocalSocketAddress();
+        }
+        String known = loop.submit(() -> discovery.json(name, true, 0)).syncUninterruptibly().getNow();
+        Path config = layout.folder().resolve(name + ".json");
+        Files.writeString(config, new BalancerConfig(name, listen, discovery.openFor(name),
+                layout.seed() + position, position, layout.balancers(), 1_024, known,
+                layout.traffic().classes(), layout.rules()).json());
+        BalancerProcess process = new BalancerProcess(name, listen, layout.command(), config,
+                layout.folder().resolve(name + ".log"));
+        balancers.put(name, process);
+        front.add(name, listen);
+        process.start();
+    }
+
+    /** Waits until something is so, as seen from the event loop. */
+    private void await(BooleanSupplier so) throws InterruptedException {
+        Promise<Void> done = loop.newPromise();
+        var look = loop.scheduleWithFixedDelay(() -> {
+            if (so.getAsBoolean()) {
+                done.trySuccess(null);
+            }
+        }, 0, LOOK_MS, TimeUnit.MILLISECONDS);
+        try {
+            done.sync();
+        } finally {
+            look.cancel(false);
+        }
+    }
+
+    /** Plays the traffic for so long, under a plan, up to the end of the last request. */
+    public Result play(long micros, Plan plan) throws InterruptedException {
+        List<Arrival> arrivals = layout.traffic().draw(layout.seed(), micros);
+        long from = clock.micros();
+        loop.execute(() -> clients.play(arrivals, from));
+        for (Plan.Step step : plan.steps()) {
+            hand.schedule(() -> bring(step.fault()), from + step.at() - clock.micros(),
+                    TimeUnit.MICROSECONDS);
+        }
+        await(clients::done);
+        return loop.submit(() -> {
+            checker.expire(clock.micros());
+            long connections = upstreams.values().stream().mapToLong(UpstreamServer::accepted).sum();
+            return new Result(List.copyOf(ended), checker.violations(), discovery.calls(), connections);
+        }).syncUninterruptibly().getNow();
+    }
+
+    /** Brings a fault about now; a process is named, or one direction of a link from balancer to upstream. */
+    private void bring(Fault fault) {
+        try {
+            if (fault instanceof Fault.Kill f && balancers.containsKey(f.process())) {
+                loop.submit(() -> front.dies(f.process())).syncUninterruptibly();
+                balancers.get(f.process()).kill();
+            } else if (fault instanceof Fault.Restart f && balancers.containsKey(f.process())) {
+                loop.submit(() -> front.dies(f.process())).syncUninterruptibly();
+                balancers.get(f.process()).start();
+            } else if (fault instanceof Fault.Pause f && balancers.containsKey(f.process())) {
+                balancers.get(f.process()).signal("STOP");
+            } else if (fault instanceof Fault.Resume f && balancers.containsKey(f.process())) {
+                balancers.get(f.process()).signal("CONT");
+            } else if (fault instanceof Fault.Drain f && balancers.containsKey(f.process())) {
+                balancers.get(f.process()).signal("TERM");
+            } else if (fault instanceof Fault.Restart f) {
+                loop.submit(() -> upstreams.get(f.process()).stop()).syncUninterruptibly();
+                Entry cold = upstream(f.process(), 0, List.copyOf(balancers.keySet()));
+                loop.submit(() -> discovery.change(List.of(cold))).syncUninterruptibly();
+            } else if (fault instanceof Fault.Link || fault instanceof Fault.Heal
+                    || fault instanceof Fault.HealAll || fault instanceof Fault.Reset) {
+                relay.bring(fault);
+            } else {
+                loop.submit(() -> toUpstream(fault)).syncUninterruptibly();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void toUpstream(Fault fault) {
+        if (fault instanceof Fault.Kill f) {
+            upstreams.get(f.process()).stop();
+        } else if (fault instanceof Fault.Pause f) {
+            upstreams.get(f.process()).hang(true);
+        } else if (fault instanceof Fault.Resume f) {
+            upstreams.get(f.process()).hang(false);
+        } else if (fault instanceof Fault.Drain f) {
+            upstreams.get(f.process()).model().drain();
+            discovery.retire(f.process());
+        } else {
+            throw new IllegalArgumentException("no such process, or no such fault of one: " + fault);
+        }
+    }
+
+    /** Ends all that was started, at once. */
+    @Override public void close() {
+        hand.shutdownNow();
+        balancers.values().forEach(BalancerProcess::close);
+        relay.close();
+        loop.submit(() -> {
+            upstreams.values().forEach(UpstreamServer::stop);
+            discovery.stop();
+        }).syncUninterruptibly();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- a/src/main/java/yewyoke/lab/stand/UpstreamModel.java
+++ b/src/main/java/yewyoke/lab/stand/UpstreamModel.java
@@ -184,7 +184,7 @@
 
     // ---- What it tells ---------------------------------------------------------------------------------
 
-    /** The load report as of some time ago, {@code util}, {@code qps}, {@code eps}; null before the first. */
+    /** The load report as of some time ago, by the names of the wire; null before the first. */
     public String report(long now) {
         closePeriods(now);
         while (!reports.isEmpty() && reports.peek().at() <= now - kind.reportDelay()) {
@@ -198,7 +198,7 @@
             double seconds = kind.reportPeriod() / 1e6;
             double util = Math.min(1, busy / kind.cores() / kind.reportPeriod());
             periodBegan += kind.reportPeriod();
-            reports.add(new Report(periodBegan, String.format(Locale.ROOT, "util=%.3f,qps=%.2f,eps=%.2f",
+            reports.add(new Report(periodBegan, String.format(Locale.ROOT, "cpu=%.3f,rps=%.2f,err_rps=%.2f",
                     util, served / seconds, errors / seconds)));
             busy = Math.max(0, busy - (double) kind.cores() * kind.reportPeriod());
             served = 0;
--- a/src/main/java/yewyoke/lab/virtual/World.java
+++ b/src/main/java/yewyoke/lab/virtual/World.java
@@ -74,6 +74,8 @@
             links.heal(f.from(), f.to());
         } else if (fault instanceof Fault.HealAll) {
             links.healAll();
+        } else {
+            throw new IllegalArgumentException("means nothing to pure cores: " + fault);
         }
     }
 
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -21,7 +21,10 @@
     @CsvSource({"yewyoke,", "yewyoke.settings,yewyoke com.fasterxml.jackson.core..",
         "yewyoke.adapter,yewyoke yewyoke.settings com.fasterxml.jackson.core..", "yewyoke.lab.fault,",
         "yewyoke.lab.virtual,yewyoke.lab.fault", "yewyoke.lab.check,",
-        "yewyoke.lab.stand,yewyoke.lab.check"})
+        "yewyoke.lab.relay,yewyoke.lab.fault io.netty..",
+        "yewyoke.lab.stand,yewyoke.lab.check io.netty.. com.fasterxml.jackson.core..",
+        "yewyoke.lab.play,yewyoke.lab.fault yewyoke.lab.relay yewyoke.lab.check yewyoke.lab.stand io.netty.. "
+        + "com.fasterxml.jackson.core.."})
     void aPackageUsesNoMoreThanIsSaid(String name, String others) {
         String[] allowed = ("java.. " + name + (others == null ? "" : " " + others)).split(" ");
         classes().that().resideInAPackage(name).should().onlyDependOnClassesThat()
--- a/src/test/java/yewyoke/lab/stand/UpstreamModelTest.java
+++ b/src/test/java/yewyoke/lab/stand/UpstreamModelTest.java
@@ -69,7 +69,7 @@
     }
 
     private String utilisation(long at) {
-        return model.report(at).replaceAll("util=([0-9.]+),.*", "$1");
+        return model.report(at).replaceAll("cpu=([0-9.]+),.*", "$1");
     }
 
     @Test
