Add the lab's experiments: TOML files, verdicts, records, reports, two builds compared

Need: an operator says in a file what fleet, traffic and faults are played and what is expected of it. lab run, compare, check and list (picocli); files by Jackson TOML, errors with file, line and key; the record as JSON lines; a page with plots (JFreeChart, HdrHistogram) that needs no network. Five experiments of 20 balancers and 60 upstreams come along; they have not been played at that size yet.

--- /dev/null
+++ b/src/main/java/yewyoke/lab/experiment/Play.java
@@ -0,0 +1,46 @@
+package yewyoke.lab.experiment;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import yewyoke.lab.fault.LinkFault;
+import yewyoke.lab.fault.Plan;
+import yewyoke.lab.play.Fleet;
+import yewyoke.lab.stand.Clients;
+import yewyoke.lab.stand.Traffic;
+
+/** Plays an experiment once with one build, and leaves its record and report in a folder. */
+public final class Play {
+    private static final double TRY_SHARE = 0.65;
+    private static final double BACKOFF_MS = 100;
+    private static final int KEYS = 500;
+    private static final double SKEW = 0.8;
+
+    private Play() { }
+
+    /**
+     * Returns what came of it; the folder has the record, the report, and each balancer's log. The build is a
+     * folder from which its deploy file's {@code run} starts a balancer.
+     */
+    public static Verdict run(Experiment experiment, Build build, Path folder)
+            throws IOException, InterruptedException {
+        Files.createDirectories(folder);
+        Plan plan = Timeline.plan(experiment);
+        var t = experiment.traffic();
+        Traffic traffic = new Traffic(t.perSecond(), experiment.theClasses(),
+                t.keys() == null ? KEYS : t.keys(), t.skew() == null ? SKEW : t.skew());
+        Clients.Retries retries = new Clients.Retries(t.retries() == null ? 2 : t.retries(), TRY_SHARE,
+                (long) (1e3 * (t.backoffMs() == null ? BACKOFF_MS : t.backoffMs())));
+        Fleet.Layout layout = new Fleet.Layout(experiment.balancers(), experiment.upstreams(),
+                experiment.kind(), experiment.theRules(), traffic, retries, LinkFault.NONE,
+                experiment.seed(), build.command(), build.home(), folder.toAbsolutePath());
+        Fleet.Result result;
+        try (Fleet fleet = new Fleet(layout)) {
+            result = fleet.play(experiment.micros(), plan);
+        }
+        Verdict verdict = Verdict.of(experiment, result);
+        PlayRecord.write(folder.resolve("record.jsonl"), experiment, plan, result);
+        Report.write(folder.resolve("report.html"), experiment, plan, result, verdict);
+        return verdict;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/lab/experiment/PlayRecord.java
@@ -0,0 +1,47 @@
+package yewyoke.lab.experiment;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import yewyoke.lab.fault.Plan;
+import yewyoke.lab.play.Fleet;
+
+/** The record of a play, one JSON object a line: the experiment, faults, requests, broken rules. */
+final class PlayRecord {
+    private static final ObjectMapper JSON = JsonMapper.builder().build();
+
+    private PlayRecord() { }
+
+    static void write(Path file, Experiment experiment, Plan plan, Fleet.Result result) throws IOException {
+        try (Writer out = Files.newBufferedWriter(file)) {
+            line(out, Map.of("experiment", experiment));
+            for (Plan.Step step : plan.steps()) {
+                line(out, Map.of("fault", step.fault().toString(), "at", step.at()));
+            }
+            for (Fleet.Ended e : result.ended()) {
+                Map<String, Object> fields = new LinkedHashMap<>();
+                fields.put("at", e.arrival().at());
+                fields.put("class", experiment.classes().get(e.arrival().classIndex()).name());
+                fields.put("outcome", e.outcome());
+                fields.put("took", e.took());
+                fields.put("tries", e.tries());
+                fields.put("late", e.sentLate());
+                line(out, fields);
+            }
+            for (var violation : result.violations()) {
+                line(out, Map.of("violation", violation.kind(), "at", violation.at(), "id", violation.id(),
+                        "text", violation.text()));
+            }
+        }
+    }
+
+    private static void line(Writer out, Object value) throws IOException {
+        out.write(JSON.writeValueAsString(value));
+        out.write('\n');
+    }
+}
--- a/src/main/java/yewyoke/lab/play/BalancerProcess.java
+++ b/src/main/java/yewyoke/lab/play/BalancerProcess.java
@@ -10,16 +10,18 @@
     private final String name;
     private final InetSocketAddress listen;
     private final List<String> command;
+    private final Path home;
     private final Path config;
     private final Path log;
     private Process process;
 
-    /** One that is started by {@code command} and told of its configuration by NODE_CONFIG. */
-    public BalancerProcess(String name, InetSocketAddress listen, List<String> command, Path config,
-            Path log) {
+    /** One that is started by {@code command} in {@code home} and told of its file by NODE_CONFIG. */
+    public BalancerProcess(String name, InetSocketAddress listen, List<String> command, Path home,
+            Path config, Path log) {
         this.name = name;
         this.listen = listen;
         this.command = List.copyOf(command);
+        this.home = home;
         this.config = config;
         this.log = log;
     }
@@ -37,7 +39,7 @@
     /** Starts it; a life that still lasts is ended first. */
     public void start() throws IOException, InterruptedException {
         kill();
-        ProcessBuilder builder = new ProcessBuilder(command);
+        ProcessBuilder builder = new ProcessBuilder(command).directory(home.toFile());
         builder.environment().put("NODE_CONFIG", config.toString());
         process = builder.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
--- a/src/main/java/yewyoke/lab/play/Fleet.java
+++ b/src/main/java/yewyoke/lab/play/Fleet.java
@@ -59,17 +59,20 @@
     private final Map<String, BalancerProcess> balancers = new LinkedHashMap<>();
     private final Map<String, UpstreamServer> upstreams = new LinkedHashMap<>();
     private final List<Ended> ended = new ArrayList<>();
+    /** Ctrl-C, too, ends what was started. */
+    private final Thread atExit = new Thread(this::killAll);
     /** Faults of processes wait for the machine; on the event loop they would make the lab late. */
     private final ScheduledExecutorService hand = Executors.newSingleThreadScheduledExecutor();
 
     /**
      * What a fleet is made of. Balancers are named b0, b1 and so on, upstreams u0, u1 and so on.
      *
-     * @param command starts one balancer
+     * @param command starts one balancer, in the folder {@code home}
      * @param folder takes configurations and logs
      */
     public record Layout(int balancers, int upstreams, UpstreamKind kind, Rules rules, Traffic traffic,
-            Clients.Retries retries, LinkFault links, long seed, List<String> command, Path folder) { }
+            Clients.Retries retries, LinkFault links, long seed, List<String> command, Path home,
+            Path folder) { }
 
     /** What became of one first try; times are microseconds. */
     public record Ended(Arrival arrival, Clients.Outcome outcome, long took, int tries, long sentLate) { }
@@ -107,11 +110,23 @@
             entries.add(upstream("u" + u, layout.rules().coldTime(), names));
         }
         loop.submit(() -> discovery.change(entries)).syncUninterruptibly();
-        for (String name : names) {
-            startBalancer(name, names.indexOf(name));
+        Runtime.getRuntime().addShutdownHook(atExit);
+        boolean up = false;
+        try {
+            for (String name : names) {
+                startBalancer(name, names.indexOf(name));
+            }
+            loop.execute(clients::watchHealth);
+            await(() -> front.complete() || !balancers.values().stream().allMatch(BalancerProcess::alive));
+            up = loop.submit(front::complete).syncUninterruptibly().getNow();
+        } finally {
+            if (!up) {
+                close();
+            }
+        }
+        if (!up) {
+            throw new IOException("a balancer has ended at its start; its log is in " + layout.folder());
         }
-        loop.execute(clients::watchHealth);
-        await(front::complete);
     }
 
     /** Starts an upstream with a way to it for each balancer; waits for the event loop, so not on it. */
@@ -136,11 +151,12 @@
         }
         String known = loop.submit(() -> discovery.json(name, true, 0)).syncUninterruptibly().getNow();
         Path config = layout.folder().resolve(name + ".json");
-        Files.writeString(config, new BalancerConfig(name, listen, discovery.openFor(name),
+        InetSocketAddress list = relay.stream(name, "discovery", discovery.openFor(name));
+        Files.writeString(config, new BalancerConfig(name, listen, list,
                 layout.seed() + position, position, layout.balancers(), 1_024, known,
                 layout.traffic().classes(), layout.rules()).json());
-        BalancerProcess process = new BalancerProcess(name, listen, layout.command(), config,
-                layout.folder().resolve(name + ".log"));
+        BalancerProcess process = new BalancerProcess(name, listen, layout.command(),
+                layout.home(), config, layout.folder().resolve(name + ".log"));
         balancers.put(name, process);
         front.add(name, listen);
         process.start();
@@ -182,10 +198,9 @@
     private void bring(Fault fault) {
         try {
             if (fault instanceof Fault.Kill f && balancers.containsKey(f.process())) {
-                loop.submit(() -> front.dies(f.process())).syncUninterruptibly();
-                balancers.get(f.process()).kill();
+                kill(f.process());
             } else if (fault instanceof Fault.Restart f && balancers.containsKey(f.process())) {
-                loop.submit(() -> front.dies(f.process())).syncUninterruptibly();
+                kill(f.process());
                 balancers.get(f.process()).start();
             } else if (fault instanceof Fault.Pause f && balancers.containsKey(f.process())) {
                 balancers.get(f.process()).signal("STOP");
@@ -210,6 +225,12 @@
         }
     }
 
+    private void kill(String balancer) throws InterruptedException {
+        loop.submit(() -> front.dies(balancer)).syncUninterruptibly();
+        balancers.get(balancer).kill();
+        loop.submit(() -> front.isDead(balancer)).syncUninterruptibly();
+    }
+
     private void toUpstream(Fault fault) {
         if (fault instanceof Fault.Kill f) {
             upstreams.get(f.process()).stop();
@@ -228,7 +249,8 @@
     /** Ends all that was started, at once. */
     @Override public void close() {
         hand.shutdownNow();
-        balancers.values().forEach(BalancerProcess::close);
+        killAll();
+        Runtime.getRuntime().removeShutdownHook(atExit);
         relay.close();
         loop.submit(() -> {
             upstreams.values().forEach(UpstreamServer::stop);
@@ -236,4 +258,8 @@
         }).syncUninterruptibly();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
+
+    private void killAll() {
+        balancers.values().forEach(BalancerProcess::close);
+    }
 }
--- a/src/main/java/yewyoke/lab/stand/Clients.java
+++ b/src/main/java/yewyoke/lab/stand/Clients.java
@@ -345,7 +345,7 @@
             if (current != null) {
                 Try t = current;
                 current = null;
-                t.cutOff(answers > 0, !connected || front.life(balancer) != life);
+                t.cutOff(answers > 0, !connected || front.killed(balancer, life));
             }
         }
 
--- a/src/main/java/yewyoke/lab/stand/Front.java
+++ b/src/main/java/yewyoke/lab/stand/Front.java
@@ -24,6 +24,7 @@
         final InetSocketAddress address;
         boolean in;
         int life;
+        boolean dying;
         long badSince = Long.MAX_VALUE;
 
         Balancer(InetSocketAddress address) {
@@ -55,16 +56,29 @@
         }
     }
 
-    /** A balancer is about to be killed: what it had taken is not its to answer any more. */
+    /** A balancer is about to be killed: what it has taken is not its to answer any more. */
     public void dies(String name) {
-        balancers.get(name).life++;
+        balancers.get(name).dying = true;
     }
 
-    /** How often a balancer has been killed. */
+    /** It is dead, and may start again: connections from now on are those of its next life. */
+    public void isDead(String name) {
+        Balancer b = balancers.get(name);
+        b.dying = false;
+        b.life++;
+    }
+
+    /** Which life of a balancer a new connection belongs to. */
     public int life(String name) {
         return balancers.get(name).life;
     }
 
+    /** Whether whoever answered in that life has been killed. */
+    public boolean killed(String name, int life) {
+        Balancer b = balancers.get(name);
+        return b.dying || b.life != life;
+    }
+
     /** Whether all have been taken in. */
     public boolean complete() {
         return balancers.values().stream().allMatch(b -> b.in);
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -24,7 +24,9 @@
         "yewyoke.lab.relay,yewyoke.lab.fault io.netty..",
         "yewyoke.lab.stand,yewyoke.lab.check io.netty.. com.fasterxml.jackson.core..",
         "yewyoke.lab.play,yewyoke.lab.fault yewyoke.lab.relay yewyoke.lab.check yewyoke.lab.stand io.netty.. "
-        + "com.fasterxml.jackson.core.."})
+        + "com.fasterxml.jackson.core..",
+        "yewyoke.lab.experiment,yewyoke.lab.fault yewyoke.lab.check yewyoke.lab.stand yewyoke.lab.play "
+        + "com.fasterxml.jackson.. org.HdrHistogram org.jfree.."})
     void aPackageUsesNoMoreThanIsSaid(String name, String others) {
         String[] allowed = ("java.. " + name + (others == null ? "" : " " + others)).split(" ");
         classes().that().resideInAPackage(name).should().onlyDependOnClassesThat()
