--- a/src/main/java/yewyoke/lab/play/Fleet.java
+++ b/src/main/java/yewyoke/lab/play/Fleet.java
@@ -143,10 +143,19 @@
         return new Entry(id, addresses, "zone", "kind", State.READY, startedMs);
     }
 
+    /**
+     * An address of the loopback that nobody else uses. On a common one, the port of a balancer that is down
+     * can be taken by somebody's connection.
+     */
+    private static String ownAddress(int position) {
+        long pid = ProcessHandle.current().pid();
+        return "127." + (1 + pid / 250 % 250) + "." + (1 + pid % 250) + "." + (1 + position);
+    }
+
     private void startBalancer(String name, int position) throws IOException, InterruptedException {
         InetSocketAddress listen;
         try (ServerSocket free = new ServerSocket()) {
-            free.bind(new InetSocketAddress("127.0.0.1", 0));
+            free.bind(new InetSocketAddress(ownAddress(position), 0));
             listen = (InetSocketAddress) free.getLocalSocketAddress();
         }
         String known = loop.submit(() -> discovery.json(name, true, 0)).syncUninterruptibly().getNow();
