Rehearse the more requests the fewer balancers share the traffic

There one or two balancers take all the traffic at full blast, and opened cold they fell behind; in a fleet of 100 each takes little. The settings tell the number (group-size). At fault: one figure for both in Rehearsal.

--- a/src/main/java/yewyoke/node/Rehearsal.java
+++ b/src/main/java/yewyoke/node/Rehearsal.java
@@ -38,16 +38,20 @@
     /**
      * One on each connection is enough for every class of the common path to be loaded and linked, and that
      * is most of what a first request costs. What is left cold is compiled while it serves, for some
-     * milliseconds a request; done here, nobody serves meanwhile, and that costs a fleet's clients more.
+     * milliseconds a request. Where many balancers share the traffic, that is cheaper than to be away longer;
+     * a few take it at full blast, and opened cold they fell behind.
      */
-    private static final int REQUESTS = CLIENTS;
+    private static final int FEWEST = CLIENTS;
+    private static final int MOST = 100;
+    /** So many requests are rehearsed by all balancers together, as far as the bounds allow. */
+    private static final int BY_ALL = 400;
     /** A restarted balancer is missed: rather open somewhat cold than late. */
     private static final long LONGEST_MS = 6_000;
     private static final int UPSTREAMS = 4;
     private static final int BODY = 1_000;
     private final Config config;
     private final ManualIoEventLoop loop;
-    private int left = REQUESTS;
+    private int left;
     private int sent;
     private int answered;
     private int served;
@@ -55,6 +59,8 @@
     private Rehearsal(Config config, ManualIoEventLoop loop) {
         this.config = config;
         this.loop = loop;
+        int group = Math.max(1, config.facts().settings().groupSize());
+        this.left = Math.max(FEWEST, Math.min(MOST, BY_ALL / group));
     }
 
     /**
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -46,6 +46,7 @@
     private int sockets = 1024;
     private String idle = "10";
     private String reports = "silent";
+    private int balancers = 1;
     private ClientServer node;
     private int sent;
 
@@ -108,7 +109,7 @@
                 + "\"known\":" + known + ",\"settings\":{\"az\":0,\"localities\":[\"z\"],\"kinds\":[\"k\"],"
                 + "\"classes\":[" + serviceClass("submit", "single_shot") + ","
                 + serviceClass("revise", "guarded") + "," + serviceClass("look", "free") + "],"
-                + "\"parties\":[{\"name\":\"acme\",\"share\":1}],\"group-size\":1,"
+                + "\"parties\":[{\"name\":\"acme\",\"share\":1}],\"group-size\":" + balancers + ","
                 + "\"ceilings\":{\"try-limit\":4,\"cancel\":true,\"probes\":true,\"max-open\":100,"
                 + "\"connect-timeout-s\":0.25,\"conn-idle-s\":"
                 + idle + "},\"rules\":{\"answer-slack-s\":0.02,\"drain-grace-s\":2,\"cold-s\":9,"
@@ -664,14 +665,18 @@
         assertOneLine(run(file, "serve"));
     }
 
-    /** One that opened cold was seconds behind its clients; what it warms up with is its own affair. */
-    @Test
-    void rehearsalServesRequestsAndTouchesNoOne() throws Exception {
+    /**
+     * One of a few that opened cold was seconds behind its clients; one of many was away for seconds to serve
+     * itself. What it warms up with is its own affair.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 90, 200", "100, 10, 50"})
+    void rehearsalServesRequestsAndTouchesNoOne(int group, int least, int most) throws Exception {
+        balancers = group;
         Server upstream = server(SERVE);
         Server discovery = server(HANG);
         int served = Rehearsal.run(config(ready(upstream), discovery));
-        assertTrue(served >= 10, "served " + served);
-        assertTrue(served <= 50, "a restarted balancer was away for seconds to serve itself " + served);
+        assertTrue(served >= least && served <= most, "served " + served);
         assertTrue(upstream.accepted.isEmpty());
         assertTrue(discovery.accepted.isEmpty());
     }
