Listen before the rehearsal again where few balancers share the traffic

With one or two balancers a client that is refused has hardly another to go to; one that waits in the kernel for a second is mostly served in time. In a fleet it is the other way round. At fault: Main.run listened last whatever the number of balancers. Now up to 4 (group-size) listen first, as before.

--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -33,6 +33,13 @@
     /** New connections come for up to 0.4 s after SIGTERM; a little later none waits to be accepted. */
     private static final long LEAST_ACCEPTING_MS = 500;
 
+    /**
+     * Of more than this, a balancer listens only after its rehearsal: the machine takes connections from then
+     * on, their requests are ours to answer, and clients do better elsewhere. With so few there is hardly any
+     * other, and to wait a second here is better than to be refused.
+     */
+    private static final int FEW = 4;
+
     private Main() { }
 
     /**
@@ -70,9 +77,14 @@
                 Runtime.getRuntime().addShutdownHook(
                         new Thread(() -> stop(found, server).awaitUninterruptibly()));
             }
+            boolean few = found.facts().settings().groupSize() <= FEW;
+            if (few) {
+                server.bind(Transport.TCP, found.listen()).sync();
+            }
             int served = Rehearsal.run(found);
-            // Not before: the machine takes connections from here on, and their requests are ours to answer.
-            server.bind(Transport.TCP, found.listen()).sync();
+            if (!few) {
+                server.bind(Transport.TCP, found.listen()).sync();
+            }
             server.open();
             if (rehearse) {
                 group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
--- a/src/test/java/yewyoke/node/ProcessTest.java
+++ b/src/test/java/yewyoke/node/ProcessTest.java
@@ -33,7 +33,7 @@
                 + "\",\"discovery\":\"" + discovery
                 + "\",\"seed\":\"1\",\"known\":{\"version\":7,\"full\":true,\"servers\":[]},"
                 + "\"settings\":{\"localities\":[\"z\"],\"kinds\":[\"k\"],\"classes\":[{\"name\":\"look\","
-                + "\"repeat\":\"free\",\"aim-s\":1,\"give-up-s\":2,\"worth\":1}],\"group-size\":1,"
+                + "\"repeat\":\"free\",\"aim-s\":1,\"give-up-s\":2,\"worth\":1}],\"group-size\":9,"
                 + "\"ceilings\":{\"try-limit\":2,\"connect-timeout-s\":0.25,\"conn-idle-s\":9},"
                 + "\"discovery\":\"on_request\",\"tick-s\":0.005}}");
     }
