Heal links behind which a connection has not come up, and hear of faults that fail

A connection made behind a cut has no channel to the far end yet; go() looked at it all the same, so Relay.bring threw, and links after that one in the list were not told of the fault or its healing. Nobody heard of it: what a task of the scheduler throws is kept in a future that nobody reads.

Fleet now ends the play with what a step threw; go() leaves the side alone that has no channel. The new test of the relay fails without the second (NullPointerException), the fleet test without it too.

--- a/src/main/java/yewyoke/lab/play/Fleet.java
+++ b/src/main/java/yewyoke/lab/play/Fleet.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import yewyoke.lab.check.Checker;
 import yewyoke.lab.check.Rules;
@@ -63,6 +64,8 @@
     private final Thread atExit = new Thread(this::killAll);
     /** Faults of processes wait for the machine; on the event loop they would make the lab late. */
     private final ScheduledExecutorService hand = Executors.newSingleThreadScheduledExecutor();
+    /** Why the hand could not do what it had to; what the play tells is worth nothing then. */
+    private final AtomicReference<RuntimeException> trouble = new AtomicReference<>();
 
     /**
      * What a fleet is made of. Balancers are named b0, b1 and so on, upstreams u0, u1 and so on.
@@ -201,10 +204,13 @@
         long from = clock.micros();
         loop.execute(() -> clients.play(arrivals, from));
         for (Plan.Step step : plan.steps()) {
-            hand.schedule(() -> bring(step.fault()), from + step.at() - clock.micros(),
+            hand.schedule(byHand(() -> bring(step.fault())), from + step.at() - clock.micros(),
                     TimeUnit.MICROSECONDS);
         }
-        await(clients::done);
+        await(() -> clients.done() || trouble.get() != null);
+        if (trouble.get() != null) {
+            throw trouble.get();
+        }
         return loop.submit(() -> {
             checker.expire(clock.micros());
             long connections = upstreams.values().stream().mapToLong(UpstreamServer::accepted).sum();
@@ -212,6 +218,17 @@
         }).syncUninterruptibly().getNow();
     }
 
+    /** What a scheduled task throws, nobody hears of. */
+    private Runnable byHand(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                trouble.compareAndSet(null, e);
+            }
+        };
+    }
+
     /** Brings a fault about now; a process is named, or one direction of a link from balancer to upstream. */
     private void bring(Fault fault) {
         try {
--- a/src/main/java/yewyoke/lab/relay/StreamLink.java
+++ b/src/main/java/yewyoke/lab/relay/StreamLink.java
@@ -165,6 +165,9 @@
 
         /** Passes on what is due, in order; comes again for the rest. */
         void go() {
+            if (channel == null) {
+                return; // behind a cut: it can have sent nothing, and the other side sees to connecting
+            }
             if (other.channel == null) {
                 connectWhenNotCut();
                 return;
--- a/src/test/java/yewyoke/lab/relay/RelayTest.java
+++ b/src/test/java/yewyoke/lab/relay/RelayTest.java
@@ -95,6 +95,29 @@
         });
     }
 
+    /** A connection made behind a cut stays silent through other faults, and goes on where it is healed. */
+    @Test
+    void whatConnectsBehindACutGoesOnOnceItIsHealed() throws Exception {
+        try (Relay relay = new Relay(3, LinkFault.NONE); ServerSocket server = new ServerSocket(0, 8, HERE)) {
+            InetSocketAddress way = relay.stream("a", "b", (InetSocketAddress) server.getLocalSocketAddress());
+            relay.bring(new Fault.Link("a", "b", LinkFault.CUT));
+            try (Socket near = new Socket(way.getAddress(), way.getPort())) {
+                near.setSoTimeout(PATIENCE_MS);
+                near.getOutputStream().write(1);
+                server.setSoTimeout(100);
+                assertThrows(SocketTimeoutException.class, server::accept);
+                relay.bring(new Fault.Link("a", "c", LinkFault.CUT));
+                relay.bring(new Fault.HealAll());
+                server.setSoTimeout(PATIENCE_MS);
+                try (Socket far = server.accept()) {
+                    assertEquals(1, far.getInputStream().read());
+                    far.getOutputStream().write(2);
+                    assertEquals(2, near.getInputStream().read());
+                }
+            }
+        }
+    }
+
     /** A peer that dies behind a cut is not missed before the cut is healed. */
     @Test
     void aResetIsHeardOnceTheCutIsHealedAndOneOfTheLinkByBothEnds() throws Exception {
