--- a/src/main/java/yewyoke/lab/experiment/Play.java
+++ b/src/main/java/yewyoke/lab/experiment/Play.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.function.Consumer;
 import yewyoke.lab.fault.LinkFault;
 import yewyoke.lab.fault.Plan;
 import yewyoke.lab.play.Fleet;
@@ -21,10 +22,11 @@
 
     /**
      * Returns what came of it; the folder has the record, the report, and each balancer's log. The build is a
-     * folder from which its deploy file's {@code run} starts a balancer.
+     * folder from which its deploy file's {@code run} starts a balancer; {@code listener} hears twice a
+     * second how far the play has come.
      */
-    public static Verdict run(Experiment experiment, Build build, Path folder)
-            throws IOException, InterruptedException {
+    public static Verdict run(Experiment experiment, Build build, Path folder,
+            Consumer<Fleet.Progress> listener) throws IOException, InterruptedException {
         Files.createDirectories(folder);
         Plan plan = Timeline.plan(experiment);
         var t = experiment.traffic();
@@ -37,7 +39,7 @@
                 experiment.seed(), WARM_UP_MICROS, build.command(), build.home(), folder.toAbsolutePath());
         Fleet.Result result;
         try (Fleet fleet = new Fleet(layout)) {
-            result = fleet.play(experiment.micros(), plan);
+            result = fleet.play(experiment.micros(), plan, listener);
         }
         Verdict verdict = Verdict.of(experiment, result);
         PlayRecord.write(folder.resolve("record.jsonl"), experiment, plan, result);
--- a/src/main/java/yewyoke/lab/experiment/PlayRecord.java
+++ b/src/main/java/yewyoke/lab/experiment/PlayRecord.java
@@ -11,7 +11,7 @@
 import yewyoke.lab.fault.Plan;
 import yewyoke.lab.play.Fleet;
 
-/** The record of a play, one JSON object a line: the experiment, faults, requests, broken rules. */
+/** The record of a play, one JSON object a line: the experiment, faults, requests, samples, broken rules. */
 final class PlayRecord {
     private static final ObjectMapper JSON = JsonMapper.builder().build();
 
@@ -33,6 +33,12 @@
                 fields.put("late", e.sentLate());
                 line(out, fields);
             }
+            for (var sample : result.processes()) {
+                line(out, Map.of("process", sample));
+            }
+            for (var sample : result.loads()) {
+                line(out, Map.of("load", sample));
+            }
             for (var violation : result.violations()) {
                 line(out, Map.of("violation", violation.kind(), "at", violation.at(), "id", violation.id(),
                         "text", violation.text()));
--- a/src/main/java/yewyoke/lab/experiment/Verdict.java
+++ b/src/main/java/yewyoke/lab/experiment/Verdict.java
@@ -11,10 +11,12 @@
  * What came of one play, in figures.
  *
  * @param servedWorth worth answered within its aim, over the worth asked for
- * @param latenessMs how late the lab itself sent at the 99th percentile; beyond its bound nothing else counts
+ * @param latenessMs how late the lab itself sent at the 99th percentile
+ * @param late whether that is beyond its bound: nothing else counts then
  * @param failures what was outside of the bounds that the experiment expects
  */
-public record Verdict(double servedWorth, double latenessMs, int violations, List<String> failures) {
+public record Verdict(double servedWorth, double latenessMs, int violations, boolean late,
+        List<String> failures) {
     /** A run in which the lab was later than this tells of the lab, unless the experiment says otherwise. */
     private static final double LATEST_MS = 2;
     private static final double P99 = 0.99;
@@ -47,7 +49,7 @@
             failures.add(String.format(Locale.ROOT,
                     "the lab sent %.1f ms late at the 99th percentile, so the run tells nothing", late));
         }
-        return new Verdict(part, late, result.violations().size(), failures);
+        return new Verdict(part, late, result.violations().size(), late > latest, failures);
     }
 
     /** One line for people. */
--- a/src/main/java/yewyoke/lab/fault/Links.java
+++ b/src/main/java/yewyoke/lab/fault/Links.java
@@ -13,6 +13,8 @@
     private final LinkFault usual;
     private final Map<Direction, LinkFault> faults = new HashMap<>();
     private final Map<Direction, SplittableRandom> draws = new HashMap<>();
+    /** Until when a direction with a bound on its bytes is taken up by what was sent before. */
+    private final Map<Direction, Long> takenUp = new HashMap<>();
 
     private record Direction(String from, String to) { }
 
@@ -25,6 +27,7 @@
     /** Puts a fault on one direction in place of what was there. */
     public void set(String from, String to, LinkFault fault) {
         faults.put(new Direction(from, to), fault);
+        takenUp.remove(new Direction(from, to));
     }
 
     /** Makes one direction as usual again. */
@@ -44,9 +47,10 @@
 
     /**
      * The delays after which copies of a message sent now arrive: none if it is lost, mostly one. A message
-     * that finds the link cut draws nothing, or the length of a cut would change what comes after it.
+     * that finds the link cut draws nothing, or the length of a cut would change what comes after it. All
+     * calls have to give {@code now}, microseconds, by one clock.
      */
-    public long[] arrivals(String from, String to) {
+    public long[] arrivals(long now, String from, String to, int bytes) {
         Direction direction = new Direction(from, to);
         LinkFault fault = faults.getOrDefault(direction, usual);
         if (fault.cut()) {
@@ -57,11 +61,19 @@
         // Drawn in any case, so that a change of one chance leaves the other draws as they were.
         boolean lost = random.nextDouble() < fault.loss();
         boolean twice = random.nextDouble() < fault.duplicate();
-        long first = delay(fault, random);
-        long second = delay(fault, random);
+        long behind = fault.rate() == 0 ? 0 : behind(now, direction, bytes, fault.rate());
+        long first = behind + delay(fault, random);
+        long second = behind + delay(fault, random);
         return lost ? new long[0] : twice ? new long[] {first, second} : new long[] {first};
     }
 
+    /** How long a message waits for those before it and for its own last byte. */
+    private long behind(long now, Direction direction, int bytes, long rate) {
+        long done = Math.max(now, takenUp.getOrDefault(direction, now)) + bytes * 1_000_000L / rate;
+        takenUp.put(direction, done);
+        return done - now;
+    }
+
     private static long delay(LinkFault fault, SplittableRandom random) {
         return fault.delay() + random.nextLong(fault.jitter() + 1);
     }
--- a/src/main/java/yewyoke/lab/play/BalancerProcess.java
+++ b/src/main/java/yewyoke/lab/play/BalancerProcess.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 
 /** One balancer as a process, over all its lives: the same name, address and configuration file. */
 public final class BalancerProcess implements AutoCloseable {
@@ -13,7 +14,7 @@
     private final Path home;
     private final Path config;
     private final Path log;
-    private Process process;
+    private volatile Process process;
 
     /** One that is started by {@code command} in {@code home} and told of its file by NODE_CONFIG. */
     public BalancerProcess(String name, InetSocketAddress listen, List<String> command, Path home,
@@ -50,6 +51,11 @@
         return process != null && process.isAlive();
     }
 
+    /** What the machine says of it now; nothing if it does not run, or the machine does not tell. */
+    public Optional<ProcessSample> sample(long at) {
+        return alive() ? ProcessSample.of(at, name, process.toHandle()) : Optional.empty();
+    }
+
     /** Sends it a signal by its name, as STOP, CONT, HUP or TERM. */
     public void signal(String signal) throws IOException, InterruptedException {
         if (alive()) {
--- a/src/main/java/yewyoke/lab/stand/UpstreamModel.java
+++ b/src/main/java/yewyoke/lab/stand/UpstreamModel.java
@@ -51,6 +51,7 @@
     private boolean down;
     private long periodBegan;
     private double busy;
+    private double spent;
     private int served;
     private int errors;
     private String told;
@@ -157,6 +158,7 @@
                     / (kind.speed() * kind.rules().warmth(now - startedAt));
             job.done = now + Math.max(1, Math.round(took));
             busy += took;
+            spent += took;
             running.put(job.ticket, job);
         }
     }
@@ -206,6 +208,11 @@
         }
     }
 
+    /** Time of its cores that was given to requests since its start, in microseconds. */
+    public double spent() {
+        return spent;
+    }
+
     /** Whether it drains, and so is in ill health. */
     public boolean draining() {
         return draining;
--- a/src/test/java/yewyoke/lab/relay/RelayTest.java
+++ b/src/test/java/yewyoke/lab/relay/RelayTest.java
@@ -77,6 +77,24 @@
         }
     }
 
+    /** 300 KB at 1 MB a second take 0.3 s, not less; the other direction is free. */
+    @Test
+    void aNarrowLinkTakesItsTimeInOneDirection() throws Exception {
+        connected(LinkFault.NONE, (relay, near, far) -> {
+            relay.bring(new Fault.Link("a", "b", new LinkFault(false, 0, 0, 0, 0, 1_000_000)));
+            byte[] there = bytes(300_000, 1);
+            long begun = System.nanoTime();
+            new Thread(() -> write(near, there)).start();
+            far.getOutputStream().write(1);
+            assertEquals(1, near.getInputStream().read());
+            long back = System.nanoTime() - begun;
+            assertArrayEquals(there, far.getInputStream().readNBytes(there.length));
+            long took = System.nanoTime() - begun;
+            assertTrue(took >= 290_000_000L, "took " + took + " ns");
+            assertTrue(back < took, "the way back took " + back + " ns, the way there " + took);
+        });
+    }
+
     /** The request gets there, the answer does not; what was under way comes when the cut is healed. */
     @Test
     void aCutHidesOneDirectionUntilItIsHealed() throws Exception {
