Add a command line for the whole program, a configuration of our own, JSON logs

Until now the lab had an entry of its own by class path and nothing else could be asked of the program. bin/yewyoke has serve, adapter, rehearse, config check, config show and lab (picocli); one TOML file is ours, what is wrong in it is named by file, line and key; a log line can be one JSON object.

--- /dev/null
+++ b/src/main/java/yewyoke/command/Main.java
@@ -0,0 +1,91 @@
+package yewyoke.command;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * The program's command line, with all that it can do. {@code java -jar yewyoke.jar serve} goes past it: the
+ * platform's start loads no class of a library that only this needs.
+ */
+@Command(name = "yewyoke", description = "A load balancer, and what keeps fleets of it running.",
+        mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+        subcommands = {Main.Serve.class, Main.Adapter.class, Main.Rehearse.class, ConfigCommand.class,
+            yewyoke.lab.Main.class})
+public final class Main {
+    /** Nothing on the command line tells an operator who he is: this name of the process does. */
+    private static final String NAME = "NODE_NAME";
+
+    Main() { }
+
+    /** Runs one command; a server goes on until SIGTERM. */
+    public static void main(String[] args) {
+        System.setProperty("java.awt.headless", "true");
+        int exit = line().execute(args);
+        if (exit != Serve.GOES_ON) {
+            System.exit(exit);
+        }
+    }
+
+    /** The command line; errors are one line that names what is at fault, and end with status 2. */
+    static CommandLine line() {
+        return new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true)
+                .setExecutionExceptionHandler((e, cmd, parsed) -> {
+                    cmd.getErr().println(cmd.getCommandSpec().qualifiedName() + ": "
+                            + (e.getMessage() == null ? e : e.getMessage()));
+                    return 2;
+                });
+    }
+
+    /** The version of the jar, as its manifest has it. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override public String[] getVersion() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            return new String[] {"yewyoke " + (version == null ? "(not from a jar)" : version)};
+        }
+    }
+
+    /** Serves, with the parts that a file of ours switches on. */
+    @Command(name = "serve",
+            description = "Runs one balancer until SIGTERM; NODE_CONFIG names the platform's file.",
+            mixinStandardHelpOptions = true)
+    static final class Serve implements Callable<Integer> {
+        /** A status that no command ends with: the balancer serves on threads of its own. */
+        static final int GOES_ON = -1;
+        @Option(names = "--config", paramLabel = "FILE", description = "our own configuration, as TOML")
+        private Path file;
+
+        @Override public Integer call() throws Exception {
+            if (file != null) {
+                String name = System.getenv(NAME);
+                Logs.set(Own.read(file).log(),
+                        name == null ? "pid-" + ProcessHandle.current().pid() : name);
+            }
+            yewyoke.node.Main.main(new String[] {"serve"});
+            return GOES_ON;
+        }
+    }
+
+    /** The decisions on the simulator's wire. */
+    @Command(name = "adapter",
+            description = "Makes the decisions on the simulator's wire, by standard input.",
+            mixinStandardHelpOptions = true)
+    static final class Adapter implements Callable<Integer> {
+        @Override public Integer call() {
+            yewyoke.node.Main.main(new String[] {"adapter"});
+            return 0;
+        }
+    }
+
+    /** A start without service. */
+    @Command(name = "rehearse", description = "Starts as to serve, and ends when it could.",
+            mixinStandardHelpOptions = true)
+    static final class Rehearse implements Callable<Integer> {
+        @Override public Integer call() {
+            yewyoke.node.Main.main(new String[] {"rehearse"});
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/command/CommandTest.java
@@ -0,0 +1,94 @@
+package yewyoke.command;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+
+/** The command line as operators see it: what it prints, and the status it ends with. */
+class CommandTest {
+    private static final String GOOD = """
+            [log]
+            format = "json"
+            level = "warning"
+
+            [log.levels]
+            node = "debug"
+            """;
+
+    @TempDir Path folder;
+
+    private record Said(int status, String out, String err) { }
+
+    private static Said say(String... args) {
+        StringWriter out = new StringWriter();
+        StringWriter err = new StringWriter();
+        CommandLine line = Main.line().setOut(new PrintWriter(out, true)).setErr(new PrintWriter(err, true));
+        int status = line.execute(args);
+        return new Said(status, out.toString(), err.toString());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"[log]|[lok]|:1: lok: ", "level =|levl =|:3: log.levl: ",
+        "\"json\"|\"xml\"|:2: log.format: ", "\"json\"|3|:2: log.format: ",
+        "node =|\"No de\" =|log.levels.No de: ", "format =|format|:2: "})
+    void aBadFileIsRefusedByFileLineAndKey(String good, String bad, String complaint) throws Exception {
+        Path file = Files.writeString(folder.resolve("ours.toml"), GOOD.replace(good, bad));
+        Said said = say("config", "check", file.toString());
+        assertEquals(2, said.status());
+        String named = file + (complaint.startsWith(":") ? "" : ": ") + complaint;
+        assertTrue(said.err().contains(named), said.err());
+    }
+
+    /** What is shown can be read again and means the same; what a file leaves out has its default. */
+    @Test
+    void whatIsInForceIsShownWithItsDefaults() throws Exception {
+        Path ours = Files.writeString(folder.resolve("ours.toml"), GOOD.replace("level = \"warning\"", ""));
+        Said said = say("config", "show", ours.toString());
+        assertEquals(0, said.status(), said.err());
+        Path shown = Files.writeString(folder.resolve("shown.toml"), said.out());
+        assertEquals(new Own(new Own.LogPart(Own.LogFormat.JSON, Own.LogLevel.INFO,
+                Map.of("node", Own.LogLevel.DEBUG))), Own.read(shown));
+        Path nothing = Files.writeString(folder.resolve("nothing.toml"), say("config", "show").out());
+        assertEquals(Own.DEFAULTS, Own.read(nothing));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"serve --confg x|--confg", "lab run|FILE", "lab runn|runn",
+        "lab run x.toml --plays many|--plays"})
+    void aWrongCommandLineIsNamed(String args, String named) {
+        Said said = say(args.split(" "));
+        assertEquals(2, said.status());
+        assertTrue(said.err().contains(named), said.err());
+    }
+
+    @Test
+    void aLineOfTheLogIsOneObjectWithItsFields() throws Exception {
+        LogRecord line = new LogRecord(Level.WARNING, "member lost\nb3");
+        line.setLoggerName("yewyoke.node.Driver");
+        line.setParameters(new Object[] {Map.of("view", 7L, "why", "\"silent\"")});
+        line.setThrown(new IllegalStateException("gone"));
+        String text = new JsonLines("b1").format(line);
+        assertEquals(1, text.lines().count(), text);
+        JsonNode read = JsonMapper.builder().build().readTree(text);
+        assertEquals("warning b1 node", read.get("level").asText() + " " + read.get("process").asText() + " "
+                + read.get("subsystem").asText());
+        assertEquals("member lost\nb3", read.get("event").asText());
+        assertEquals(7, read.get("view").asLong());
+        assertEquals("\"silent\"", read.get("why").asText());
+        assertTrue(read.get("error").asText().contains("gone") && read.get("stack").size() > 0, text);
+    }
+}
