--- a/src/main/java/yewyoke/command/Main.java
+++ b/src/main/java/yewyoke/command/Main.java
@@ -1,5 +1,6 @@
 package yewyoke.command;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
@@ -18,6 +19,8 @@
     /** Nothing on the command line tells an operator who he is: this name of the process does. */
     private static final String NAME = "NODE_NAME";
 
+    private static final System.Logger LOG = System.getLogger(Main.class.getName());
+
     Main() { }
 
     /** Runs one command; a server goes on until SIGTERM. */
@@ -58,13 +61,22 @@
         private Path file;
 
         @Override public Integer call() throws Exception {
+            Own own = file == null ? Own.DEFAULTS : Own.read(file);
+            String env = System.getenv(NAME);
+            String name = env == null ? "pid-" + ProcessHandle.current().pid() : env;
             if (file != null) {
-                String name = System.getenv(NAME);
-                Logs.set(Own.read(file).log(),
-                        name == null ? "pid-" + ProcessHandle.current().pid() : name);
+                Logs.set(own.log(), name);
             }
-            yewyoke.node.Main.main(new String[] {"serve"});
-            return GOES_ON;
+            String listen = own.metrics().listen();
+            InetSocketAddress at = listen == null ? null : Own.address(file, "metrics.listen", listen);
+            String config = System.getenv("NODE_CONFIG");
+            int status = yewyoke.node.Main.run(new String[] {"serve"}, config, System.err, balancer -> {
+                if (at != null) {
+                    Metrics metrics = new Metrics(at, name, balancer);
+                    LOG.log(System.Logger.Level.INFO, "metrics at " + metrics.address());
+                }
+            });
+            return status == 0 ? GOES_ON : status;
         }
     }
 
--- /dev/null
+++ b/src/main/java/yewyoke/command/Metrics.java
@@ -0,0 +1,139 @@
+package yewyoke.command;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Tags;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.system.FileDescriptorMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.core.instrument.binder.system.UptimeMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
+import yewyoke.node.Status;
+
+/**
+ * The figures of one balancer for whoever reads {@code /metrics} over the loopback. It has a thread of its
+ * own; the balancer pays for one event of its loop each time somebody reads. For one that is too busy for
+ * that within a second the answer is 503, which tells as much.
+ */
+final class Metrics implements AutoCloseable {
+    private static final int MAX_BODY = 1_024;
+    private static final long PATIENCE_MS = 1_000;
+    private static final Status NOTHING = new Status(false, 0, 0, 0, 0, 0, Map.of(), Map.of());
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            new DefaultThreadFactory("metrics", true), NioIoHandler.newFactory());
+    private final Supplier<Future<Status>> balancer;
+    private final Channel listening;
+    private volatile Status status = NOTHING;
+
+    /** Serves the figures of a balancer at an address from now on. */
+    Metrics(InetSocketAddress listen, String process, Supplier<Future<Status>> balancer) {
+        this.balancer = balancer;
+        registry.config().commonTags("process", process);
+        new JvmMemoryMetrics().bindTo(registry);
+        new FileDescriptorMetrics().bindTo(registry);
+        new ProcessorMetrics().bindTo(registry);
+        new UptimeMetrics().bindTo(registry);
+        gauge("yewyoke.ready", "1 if there is a list to serve from", s -> s.ready() ? 1 : 0);
+        gauge("yewyoke.upstreams", "Upstreams on the list", Status::upstreams);
+        gauge("yewyoke.requests.open", "Requests taken and not ended", Status::open);
+        gauge("yewyoke.connections", "Connections to upstreams", Status::connections);
+        counter("yewyoke.connects", "Connections opened to upstreams", Tags.empty(), Status::connects);
+        counter("yewyoke.requests", "Requests taken", Tags.empty(), Status::requests);
+        for (String answer : new String[] {"served", "refused", "failed", "left"}) {
+            counter("yewyoke.answers", "Requests by how they ended", Tags.of("answer", answer),
+                    s -> s.answers().getOrDefault(answer, 0L));
+        }
+        refresh();
+        for (String end : status.attempts().keySet()) {
+            counter("yewyoke.attempts", "Attempts by how they ended", Tags.of("end", end),
+                    s -> s.attempts().getOrDefault(end, 0L));
+        }
+        listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY),
+                                new Reader());
+                    }
+                }).bind(listen).syncUninterruptibly().channel();
+    }
+
+    /** Where they can be read. */
+    InetSocketAddress address() {
+        return (InetSocketAddress) listening.localAddress();
+    }
+
+    private void gauge(String name, String what, ToDoubleFunction<Status> value) {
+        Gauge.builder(name, () -> value.applyAsDouble(status)).description(what).register(registry);
+    }
+
+    private void counter(String name, String what, Tags tags, Function<Status, Long> value) {
+        FunctionCounter.builder(name, this, m -> value.apply(m.status)).description(what).tags(tags)
+                .register(registry);
+    }
+
+    /** Asks the balancer; whether it has answered in time. */
+    private boolean refresh() {
+        Future<Status> asked = balancer.get();
+        if (asked.awaitUninterruptibly(PATIENCE_MS) && asked.isSuccess()) {
+            status = asked.getNow();
+            return true;
+        }
+        return false;
+    }
+
+    private final class Reader extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            boolean found = request.uri().equals("/metrics");
+            boolean fresh = found && refresh();
+            String text = fresh ? registry.scrape() : found ? "the event loop is busy\n" : "try /metrics\n";
+            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    fresh ? HttpResponseStatus.OK : found ? HttpResponseStatus.SERVICE_UNAVAILABLE
+                    : HttpResponseStatus.NOT_FOUND, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+            answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
+                    .set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes())
+                    .set(HttpHeaderNames.CONNECTION, "close");
+            ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        /** A reader that goes away has nothing to be told. */
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    @Override public void close() {
+        listening.close().syncUninterruptibly();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        registry.close();
+    }
+}
--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.io.IOException;
 import java.math.BigDecimal;
@@ -103,6 +104,11 @@
         loop.execute(() -> driver.reload(config));
     }
 
+    /** What the balancer has done and what it holds, as of soon. */
+    Future<Status> status() {
+        return loop.submit(driver::status);
+    }
+
     SocketAddress address() {
         return listening.localAddress();
     }
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -53,6 +53,7 @@
     private final Balancer balancer;
     private final Map<String, Open> open = new HashMap<>();
     private final Deque<Runnable> events = new ArrayDeque<>();
+    private final Counts counts = new Counts();
     private final long epochMicros = System.currentTimeMillis() * 1_000;
     private final long origin = System.nanoTime();
     private Discovery discovery;
@@ -135,6 +136,12 @@
         discovery.move(config.discovery());
     }
 
+    /** What it has done and what it holds; on its event loop only. */
+    Status status() {
+        return new Status(ready, upstreams.size(), open.size(), upstreams.connections(), upstreams.connects(),
+                counts.requests, counts.answers(), counts.attempts());
+    }
+
     /** Whether there are upstreams to serve from. */
     boolean ready() {
         return ready;
@@ -190,7 +197,9 @@
 
     /** Takes a request and its message; exactly one answer follows unless the client leaves first. */
     void request(Request request, FullHttpRequest message, Client client) {
+        counts.requests++;
         if (limits.maxOpen() > 0 && open.size() >= limits.maxOpen()) {
+            counts.refused++;
             message.release();
             client.refused(0);
             return;
@@ -205,6 +214,7 @@
     void gone(String id) {
         Open o = open.get(id);
         if (o != null && !o.concluded) {
+            counts.left++;
             conclude(o);
             event(() -> balancer.clientGone(now(), id));
         }
@@ -217,6 +227,7 @@
         }
         event(() -> {
             if (!o.concluded) {
+                counts.failed++;
                 conclude(o);
                 o.client.failed();
                 balancer.clientGone(now(), o.request.id());
@@ -292,10 +303,12 @@
     private void ended(Open o, int number, Outcome outcome, FullHttpResponse answer) {
         Attempt attempt = o.attempts.get(number);
         attempt.ended = true;
+        counts.attemptEnded(outcome);
         if (attempt.timeout != null) {
             attempt.timeout.cancel(false);
         }
         if (outcome == Outcome.OK && !o.concluded) {
+            counts.served++;
             o.concluded = true;
             o.client.served(answer.content().retain());
         }
@@ -318,6 +331,7 @@
     @Override public void refuse(String id, long retryAfter) {
         Open o = open.get(id);
         if (o != null && !o.concluded) {
+            counts.refused++;
             conclude(o);
             o.client.refused(retryAfter);
         }
@@ -326,6 +340,7 @@
     @Override public void fail(String id) {
         Open o = open.get(id);
         if (o != null && !o.concluded) {
+            counts.failed++;
             conclude(o);
             o.client.failed();
         }
--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -47,6 +47,7 @@
     private final int maxConnections;
     private final Map<String, Server> servers = new HashMap<>();
     private int connections;
+    private long connects;
 
     Upstreams(EventLoop loop, Transport transport, long connectTimeoutMicros, long connectIdleMicros,
             int maxConnections) {
@@ -103,6 +104,21 @@
         }
     }
 
+    /** How many there are on the list. */
+    int size() {
+        return servers.size();
+    }
+
+    /** Connections that are open or coming up. */
+    int connections() {
+        return connections;
+    }
+
+    /** Connections opened so far. */
+    long connects() {
+        return connects;
+    }
+
     private void forget(String id) {
         Server server = servers.remove(id);
         if (server != null) {
@@ -181,6 +197,7 @@
 
     private void connect(Server server, Exchange exchange) {
         connections++;
+        connects++;
         InetSocketAddress addr = server.addr;
         ChannelFuture connecting = bootstrap.connect(transport.address(addr));
         exchange.channel = connecting.channel();
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -19,7 +19,8 @@
     /** Each package with all that it may use, the platform's own apart. */
     @ParameterizedTest
     @CsvSource({"yewyoke,", "yewyoke.toml,com.fasterxml.jackson..",
-        "yewyoke.command,yewyoke.toml yewyoke.node yewyoke.lab picocli com.fasterxml.jackson..",
+        "yewyoke.command,yewyoke.toml yewyoke.node yewyoke.lab picocli io.netty.. "
+        + "io.micrometer.. com.fasterxml.jackson..",
         "yewyoke.settings,yewyoke com.fasterxml.jackson.core..",
         "yewyoke.adapter,yewyoke yewyoke.settings com.fasterxml.jackson.core..", "yewyoke.lab.fault,",
         "yewyoke.lab.virtual,yewyoke.lab.fault", "yewyoke.lab.check,",
@@ -47,7 +48,7 @@
         noClasses().that().resideInAnyPackage("yewyoke", "yewyoke.node..", "yewyoke.adapter..",
                 "yewyoke.settings..").should().dependOnClassesThat().resideInAnyPackage("yewyoke.lab..",
                 "yewyoke.command..", "yewyoke.toml..", "picocli..", "com.fasterxml.jackson.databind..",
-                "org.HdrHistogram..", "org.jfree..").check(PROGRAM);
+                "io.micrometer..", "org.HdrHistogram..", "org.jfree..").check(PROGRAM);
     }
 
     @Test
--- a/src/test/java/yewyoke/command/CommandTest.java
+++ b/src/test/java/yewyoke/command/CommandTest.java
@@ -27,6 +27,9 @@
 
             [log.levels]
             node = "debug"
+
+            [metrics]
+            listen = "127.0.0.1:0"
             """;
 
     @TempDir Path folder;
@@ -44,7 +47,9 @@
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {"[log]|[lok]|:1: lok: ", "level =|levl =|:3: log.levl: ",
         "\"json\"|\"xml\"|:2: log.format: ", "\"json\"|3|:2: log.format: ",
-        "node =|\"No de\" =|log.levels.No de: ", "format =|format|:2: "})
+        "node =|\"No de\" =|log.levels.No de: ", "format =|format|:2: ",
+        "127.0.0.1:0|10.1.2.3:80|metrics.listen: ", "127.0.0.1:0|127.0.0.1:http|metrics.listen: ",
+        "127.0.0.1:0|127.0.0.1:65536|metrics.listen: "})
     void aBadFileIsRefusedByFileLineAndKey(String good, String bad, String complaint) throws Exception {
         Path file = Files.writeString(folder.resolve("ours.toml"), GOOD.replace(good, bad));
         Said said = say("config", "check", file.toString());
@@ -56,12 +61,13 @@
     /** What is shown can be read again and means the same; what a file leaves out has its default. */
     @Test
     void whatIsInForceIsShownWithItsDefaults() throws Exception {
-        Path ours = Files.writeString(folder.resolve("ours.toml"), GOOD.replace("level = \"warning\"", ""));
+        Path ours = Files.writeString(folder.resolve("ours.toml"), GOOD.replace("level = \"warning\"", "")
+                .replace("listen = \"127.0.0.1:0\"", ""));
         Said said = say("config", "show", ours.toString());
         assertEquals(0, said.status(), said.err());
         Path shown = Files.writeString(folder.resolve("shown.toml"), said.out());
         assertEquals(new Own(new Own.LogPart(Own.LogFormat.JSON, Own.LogLevel.INFO,
-                Map.of("node", Own.LogLevel.DEBUG))), Own.read(shown));
+                Map.of("node", Own.LogLevel.DEBUG)), Own.DEFAULTS.metrics()), Own.read(shown));
         Path nothing = Files.writeString(folder.resolve("nothing.toml"), say("config", "show").out());
         assertEquals(Own.DEFAULTS, Own.read(nothing));
     }
