Spread the lab's health checks, which made it late ten times a second

The front's checks of all balancers began in one task of the event loop (Clients.watchHealth). Reports have a white ground and colours that can be told apart.

--- a/src/main/java/yewyoke/lab/experiment/Report.java
+++ b/src/main/java/yewyoke/lab/experiment/Report.java
@@ -40,6 +40,8 @@
     private static final long SECOND = 1_000_000;
     private static final double SAMPLE_SECONDS = 0.5;
     private static final int SHADES = 20;
+    private static final Color[] COLOURS = {new Color(0x1f6fb4), new Color(0xe08a1e), new Color(0x7f7f7f),
+        new Color(0xc0272d)};
     private static final double[] PERCENTILES = {50, 99};
 
     private final Plan plan;
@@ -204,6 +206,7 @@
         XYPlot plot = ChartFactory.createXYLineChart(title, "seconds", unit, data).getXYPlot();
         for (int i = 0; i < data.getSeriesCount(); i++) {
             plot.getRenderer().setSeriesStroke(i, new BasicStroke(2));
+            plot.getRenderer().setSeriesPaint(i, COLOURS[i % COLOURS.length]);
         }
         image(page, title, plot);
     }
@@ -213,8 +216,10 @@
         plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
         plan.steps().stream().map(s -> s.at() / 100_000).distinct().forEach(tenths ->
                 plot.addDomainMarker(new ValueMarker(tenths / 10.0, Color.GRAY, new BasicStroke(1))));
+        plot.setDomainGridlinePaint(Color.LIGHT_GRAY);
         boolean legend = plot.getSeriesCount() > 1;
         JFreeChart chart = new JFreeChart(title, JFreeChart.DEFAULT_TITLE_FONT, plot, legend);
+        chart.setBackgroundPaint(Color.WHITE);
         ByteArrayOutputStream png = new ByteArrayOutputStream();
         ChartUtils.writeChartAsPNG(png, chart, WIDTH, HEIGHT);
         page.append("<img alt=\"").append(escape(title)).append("\" src=\"data:image/png;base64,")
--- a/src/main/java/yewyoke/lab/stand/Clients.java
+++ b/src/main/java/yewyoke/lab/stand/Clients.java
@@ -97,10 +97,14 @@
         return work.getOrDefault(id, Double.NaN);
     }
 
-    /** Begins to look at the balancers' health. */
+    /** Begins to look at the balancers' health: evenly spread, since all at once make the lab late. */
     public void watchHealth() {
-        loop.scheduleWithFixedDelay(() -> front.all().forEach(this::checkHealth), 0, CHECK_MICROS,
-                TimeUnit.MICROSECONDS);
+        long phase = 0;
+        for (Map.Entry<String, InetSocketAddress> balancer : front.all().entrySet()) {
+            loop.scheduleWithFixedDelay(() -> checkHealth(balancer.getKey(), balancer.getValue()), phase,
+                    CHECK_MICROS, TimeUnit.MICROSECONDS);
+            phase += CHECK_MICROS / front.all().size();
+        }
     }
 
     /** Sends these, each at its time after {@code from}; they are in the order of their times. */
