--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -23,6 +23,7 @@
         + "io.micrometer.. com.fasterxml.jackson..",
         "yewyoke.settings,yewyoke com.fasterxml.jackson.core..",
         "yewyoke.adapter,yewyoke yewyoke.settings com.fasterxml.jackson.core..", "yewyoke.lab.fault,",
+        "yewyoke.fleet.member,com.fasterxml.jackson.core..",
         "yewyoke.lab.virtual,yewyoke.lab.fault", "yewyoke.lab.check,",
         "yewyoke.lab.relay,yewyoke.lab.fault io.netty..",
         "yewyoke.lab.stand,yewyoke.lab.check io.netty.. com.fasterxml.jackson.core..",
--- /dev/null
+++ b/src/test/java/yewyoke/fleet/member/MembershipFiguresTest.java
@@ -0,0 +1,97 @@
+package yewyoke.fleet.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static yewyoke.fleet.member.VirtualFleet.LAN;
+import static yewyoke.fleet.member.VirtualFleet.SECOND;
+import static yewyoke.fleet.member.VirtualFleet.names;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import yewyoke.lab.fault.Fault;
+import yewyoke.lab.fault.LinkFault;
+import yewyoke.lab.virtual.Explorer;
+
+/** The figures of docs/membership.md, in virtual time; each line that is printed is one of its tables'. */
+@Tag("long")
+class MembershipFiguresTest {
+    private static final Settings FLEET = Settings.of("dhaka");
+    private static final List<String> SEEDS = List.of("m0", "m1", "m2");
+
+    private static VirtualFleet settled(long seed, LinkFault links, int count) {
+        VirtualFleet fleet = new VirtualFleet(seed, links, FLEET, SEEDS);
+        names(count).forEach(fleet::add);
+        for (int i = 0; i < 60 && fleet.disagreement() != null; i++) {
+            fleet.run(2 * SECOND);
+        }
+        fleet.run(5 * SECOND);
+        fleet.events.clear();
+        return fleet;
+    }
+
+    /** Three crashes, one after the other; what a member sends is counted over 10 s without a fault. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 100, 1_000, 5_000})
+    void crash(int count) {
+        VirtualFleet fleet = settled(1, LAN, count);
+        assertEquals(null, fleet.disagreement());
+        long datagrams = fleet.datagrams;
+        long bytes = fleet.bytes;
+        fleet.run(10 * SECOND);
+        double sent = (fleet.datagrams - datagrams) / 10.0 / count;
+        double each = (fleet.bytes - bytes) / 10.0 / count;
+        double[] sums = new double[3];
+        for (String victim : List.of("m3", "m5", "m8")) {
+            long at = fleet.world.now();
+            fleet.events.clear();
+            fleet.world.bring(new Fault.Kill(victim));
+            fleet.run(20 * SECOND);
+            List<Long> knew = fleet.events.stream().filter(s -> s.event().kind() == Event.Kind.DIED
+                    && s.event().claim().name().equals(victim)).map(s -> s.at() - at).sorted().toList();
+            assertEquals(fleet.living().size(), knew.size());
+            sums[0] += knew.get(0) / 3e6;
+            sums[1] += knew.get(knew.size() / 2) / 3e6;
+            sums[2] += knew.get(knew.size() - 1) / 3e6;
+        }
+        System.out.printf(Locale.ROOT, "crash | %d | %.2f | %.2f | %.2f | %.1f | %.0f |%n", count, sums[0],
+                sums[1], sums[2], sent, each);
+    }
+
+    /** Who is held dead though it lives, in so many hours of the fleet's time. */
+    @ParameterizedTest
+    @CsvSource({"0, 0, 0.5", "0.05, 0, 0.5", "0.2, 0, 1", "0.3, 0, 0.5", "0, 2, 0.5"})
+    void falseRemovals(double loss, int starved, double hours) {
+        VirtualFleet fleet = settled(2, new LinkFault(false, 200, 300, loss, 0), 20);
+        for (long until = fleet.world.now() + (long) (hours * 3_600 * SECOND); fleet.world.now() < until; ) {
+            for (String s : names(starved)) {
+                fleet.world.bring(new Fault.Pause(s));
+            }
+            fleet.run(SECOND);
+            for (String s : names(starved)) {
+                fleet.world.bring(new Fault.Resume(s));
+            }
+            fleet.run(SECOND);
+        }
+        long dead = fleet.events.stream().filter(s -> s.event().kind() == Event.Kind.DIED
+                && s.event().claim().by().equals(s.observer())).count();
+        long suspected = fleet.events.stream().filter(s -> s.event().kind() == Event.Kind.SUSPECTED
+                && s.event().claim().by().equals(s.observer())).count();
+        System.out.printf(Locale.ROOT, "false | %.2f | %d of 20 | %.1f h | %d | %d |%n", loss, starved, hours,
+                suspected, dead);
+        assertTrue(loss > 0.2 || starved > 0 || dead == 0, "held dead: " + dead);
+    }
+
+    @Test
+    void drawnFaultsByTheThousand() {
+        int plays = Integer.getInteger("plays", 10_000);
+        Optional<Explorer.Finding> found = MembershipTest.explore(plays);
+        System.out.println("drawn | " + plays + " | " + (found.isEmpty() ? "held" : found.get()) + " |");
+        assertTrue(found.isEmpty());
+    }
+}
