Mend three verdicts of the tests that hung on the load of the machine

The lab's client sent a request once more when a kept connection ended, even if the balancer had been killed with it in its hands (Clients, closed). A killed balancer ends the try now; the client's own next try has an id of its own. - RelayTest heard a reset through a cut. Where the far end was reset before the relay had seen its connection come up, the failed connect reset the near end at once (StreamLink, connectWhenNotCut). It waits for the link like other news. - ProcessTest waited for ever for a line of the log when started with SIGHUP ignored, as under nohup: the JVM leaves an ignored signal ignored.

--- a/src/main/java/yewyoke/lab/relay/StreamLink.java
+++ b/src/main/java/yewyoke/lab/relay/StreamLink.java
@@ -133,7 +133,8 @@
                     channel.config().setAutoRead(true);
                     other.channel.config().setAutoRead(true);
                 } else {
-                    reset();
+                    other.broken = true; // a refusal has to come back over the link like anything else
+                    other.go();
                 }
             });
         }
--- a/src/main/java/yewyoke/lab/stand/Clients.java
+++ b/src/main/java/yewyoke/lab/stand/Clients.java
@@ -278,7 +278,10 @@
             }
         }
 
-        /** The connection has ended; a reused one that had answered nothing yet was closed as we wrote. */
+        /**
+         * The connection has ended; a reused one that had answered nothing yet was closed as we wrote. A
+         * balancer that was killed may have sent the request on, so to send it again would run it twice.
+         */
         void cutOff(boolean reused, boolean excused) {
             if (reused) {
                 go(false);
@@ -349,7 +352,8 @@
             if (current != null) {
                 Try t = current;
                 current = null;
-                t.cutOff(answers > 0, !connected || front.killed(balancer, life));
+                boolean killed = front.killed(balancer, life);
+                t.cutOff(answers > 0 && !killed, !connected || killed);
             }
         }
 
--- a/src/test/java/yewyoke/node/ProcessTest.java
+++ b/src/test/java/yewyoke/node/ProcessTest.java
@@ -13,6 +13,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -44,6 +45,14 @@
         }
     }
 
+    /** Starts it, and ends it when the patience of all tests is over: nothing may wait for a log for ever. */
+    private static Process start(ProcessBuilder builder) throws IOException {
+        Process process = builder.start();
+        CompletableFuture.delayedExecutor(3L * Sockets.PATIENCE_S, TimeUnit.SECONDS)
+                .execute(process::destroyForcibly);
+        return process;
+    }
+
     private static ProcessBuilder serve(Path config) {
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
@@ -65,8 +74,8 @@
         }
         File log = folder.resolve("log").toFile();
         try (Server discovery = new Server((m, s) -> Sockets.beginChunks(s))) {
-            Process process = serve(config("127.0.0.1:" + listen.getPort(), discovery.addr()))
-                    .redirectError(log).start();
+            Process process = start(serve(config("127.0.0.1:" + listen.getPort(), discovery.addr()))
+                    .redirectError(log));
             try {
                 while (!connects(listen)) {
                     assertTrue(process.isAlive(), "ended: " + Files.readString(log.toPath()));
@@ -94,7 +103,7 @@
     void hangUpSignalMovesTheWatchToTheNewAddressAndKeepsItUp() throws Exception {
         try (Server before = new Server((m, s) -> Sockets.beginChunks(s));
                 Server after = new Server((m, s) -> Sockets.beginChunks(s))) {
-            Process process = serve(config(before.addr())).start();
+            Process process = start(serve(config(before.addr())));
             try (BufferedReader log = process.errorReader()) {
                 await(log, "rehearsed with");
                 assertTrue(Sockets.next(before.requests).start().contains("follow=1&since=7"));
