Carry membership over UDP between processes, and show it to operators

The core had no way out of virtual time. A process may send to other addresses than members tell ([fleet.via]), which lets the lab's relay stand between any two. The platform's start loads one record of ours more (Running), no library.

--- a/src/main/java/yewyoke/command/Metrics.java
+++ b/src/main/java/yewyoke/command/Admin.java
@@ -1,5 +1,8 @@
 package yewyoke.command;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Tags;
@@ -36,28 +39,35 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
+import yewyoke.fleet.carrier.MemberCarrier;
 import yewyoke.node.Status;
 
 /**
- * The figures of one balancer for whoever reads {@code /metrics} over the loopback. It has a thread of its
+ * For operators, over the loopback: the figures of one balancer ({@code /metrics}), and what it holds of its
+ * fleet ({@code /members}). It has a thread of its
  * own; the balancer pays for one event of its loop each time somebody reads. For one that is too busy for
  * that within a second the answer is 503, which tells as much.
  */
-final class Metrics implements AutoCloseable {
+final class Admin implements AutoCloseable {
+    private static final ObjectMapper JSON = JsonMapper.builder().build();
     private static final int MAX_BODY = 1_024;
     private static final long PATIENCE_MS = 1_000;
     private static final Status NOTHING = new Status(false, 0, 0, 0, 0, 0, Map.of(), Map.of());
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            new DefaultThreadFactory("metrics", true), NioIoHandler.newFactory());
+            new DefaultThreadFactory("admin", true), NioIoHandler.newFactory());
     private final Supplier<Future<Status>> balancer;
+    /** Null where no peers are configured. */
+    private final MemberCarrier members;
     private final Channel listening;
     private volatile Status status = NOTHING;
 
-    /** Serves the figures of a balancer at an address from now on. */
-    Metrics(InetSocketAddress listen, String process, Supplier<Future<Status>> balancer) {
+    /** Answers at an address from now on; {@code members} is null where no peers are configured. */
+    Admin(InetSocketAddress listen, String process, Supplier<Future<Status>> balancer,
+            MemberCarrier members) {
         this.balancer = balancer;
+        this.members = members;
         registry.config().commonTags("process", process);
         new JvmMemoryMetrics().bindTo(registry);
         new FileDescriptorMetrics().bindTo(registry);
@@ -103,23 +113,44 @@
 
     /** Asks the balancer; whether it has answered in time. */
     private boolean refresh() {
-        Future<Status> asked = balancer.get();
-        if (asked.awaitUninterruptibly(PATIENCE_MS) && asked.isSuccess()) {
-            status = asked.getNow();
-            return true;
-        }
-        return false;
+        Status now = got(balancer.get());
+        status = now == null ? status : now;
+        return now != null;
+    }
+
+    /** What the event loop answered; null if it did not in time. */
+    private static <T> T got(Future<T> asked) {
+        return asked.awaitUninterruptibly(PATIENCE_MS) && asked.isSuccess() ? asked.getNow() : null;
     }
 
     private final class Reader extends SimpleChannelInboundHandler<FullHttpRequest> {
-        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            boolean found = request.uri().equals("/metrics");
-            boolean fresh = found && refresh();
-            String text = fresh ? registry.scrape() : found ? "the event loop is busy\n" : "try /metrics\n";
-            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    fresh ? HttpResponseStatus.OK : found ? HttpResponseStatus.SERVICE_UNAVAILABLE
-                    : HttpResponseStatus.NOT_FOUND, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
-            answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
+        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request)
+                throws JsonProcessingException {
+            switch (request.uri()) {
+                case "/metrics" -> answer(ctx, refresh() ? registry.scrape() : null,
+                        "text/plain; version=0.0.4; charset=utf-8");
+                case "/members" -> {
+                    if (members == null) {
+                        answer(ctx, HttpResponseStatus.NOT_FOUND, "no peers are configured\n", "text/plain");
+                    } else {
+                        MemberCarrier.Look look = got(members.look());
+                        answer(ctx, look == null ? null : JSON.writeValueAsString(look), "application/json");
+                    }
+                }
+                default -> answer(ctx, HttpResponseStatus.NOT_FOUND, "try /metrics or /members\n",
+                        "text/plain");
+            }
+        }
+
+        private void answer(ChannelHandlerContext ctx, String text, String type) {
+            answer(ctx, text == null ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
+                    text == null ? "the event loop is busy\n" : text, text == null ? "text/plain" : type);
+        }
+
+        private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String text, String type) {
+            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                    Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+            answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type)
                     .set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes())
                     .set(HttpHeaderNames.CONNECTION, "close");
             ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
--- /dev/null
+++ b/src/main/java/yewyoke/command/FleetCommand.java
@@ -0,0 +1,80 @@
+package yewyoke.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Asks any process of a fleet what it holds. */
+@Command(name = "fleet", description = "Asks a process what it holds of its fleet.",
+        mixinStandardHelpOptions = true, subcommands = FleetCommand.Members.class)
+final class FleetCommand {
+    private static final Duration PATIENCE = Duration.ofSeconds(3);
+
+    FleetCommand() { }
+
+    /** Shows who is there. */
+    @Command(name = "members", description = "Shows who is there, as the process that is asked holds it.",
+            mixinStandardHelpOptions = true)
+    static final class Members implements Callable<Integer> {
+        @Option(names = "--at", paramLabel = "ADDRESS", required = true,
+                description = "admin.listen of the process, as 127.0.0.1:9464")
+        private String at;
+        @Option(names = "--json", description = "the answer as it came, for programs")
+        private boolean json;
+        @Spec
+        private CommandSpec spec;
+
+        @Override public Integer call() throws Exception {
+            String text = get("http://" + at + "/members");
+            PrintWriter out = spec.commandLine().getOut();
+            if (json) {
+                out.println(text);
+                return 0;
+            }
+            JsonNode look = JsonMapper.builder().build().readTree(text);
+            out.printf(Locale.ROOT, "%s holds %d present, its own health is %d (0 is well)%n",
+                    look.at("/self/name").asText(), look.get("present").asInt(), look.get("health").asInt());
+            out.printf(Locale.ROOT, "%-20s %-8s %11s %9s  %-22s %-12s %-12s %s%n", "member", "state",
+                    "incarnation", "since s", "address", "zone", "says", "");
+            for (JsonNode held : look.get("members")) {
+                JsonNode c = held.get("claim");
+                out.printf(Locale.ROOT, "%-20s %-8s %11d %9.1f  %-22s %-12s %-12s %s%n",
+                        c.get("name").asText(), c.get("state").asText().toLowerCase(Locale.ROOT),
+                        c.get("incarnation").asLong(), held.get("seconds").asDouble(),
+                        c.get("address").asText(), c.at("/meta/zone").asText(), c.get("by").asText(),
+                        c.get("rival").asBoolean() ? "NAME HELD TWICE" : "");
+            }
+            look.get("refused").fields().forEachRemaining(r -> out.printf(Locale.ROOT,
+                    "%d datagrams dropped: %s%n", r.getValue().asLong(), r.getKey()));
+            return 0;
+        }
+
+        private static String get(String uri) throws IOException, InterruptedException {
+            try {
+                HttpResponse<String> answer = HttpClient.newHttpClient().send(HttpRequest
+                        .newBuilder(URI.create(uri)).timeout(PATIENCE).build(),
+                        HttpResponse.BodyHandlers.ofString());
+                if (answer.statusCode() == 200) {
+                    return answer.body();
+                }
+                throw new IOException(uri + ": " + answer.body().trim());
+            } catch (IllegalArgumentException e) {
+                throw new IOException("--at: not an address and port: " + uri, e);
+            } catch (IOException e) {
+                throw e.getMessage() == null ? new IOException(uri + ": nobody answers there", e) : e;
+            }
+        }
+    }
+}
--- a/src/main/java/yewyoke/command/Main.java
+++ b/src/main/java/yewyoke/command/Main.java
@@ -2,10 +2,17 @@
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import yewyoke.fleet.carrier.FleetConfig;
+import yewyoke.fleet.carrier.MemberCarrier;
+import yewyoke.fleet.member.Meta;
+import yewyoke.fleet.member.Settings;
+import yewyoke.toml.BadFile;
 
 /**
  * The program's command line, with all that it can do. {@code java -jar yewyoke.jar serve} goes past it: the
@@ -14,7 +21,7 @@
 @Command(name = "yewyoke", description = "A load balancer, and what keeps fleets of it running.",
         mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
         subcommands = {Main.Serve.class, Main.Adapter.class, Main.Rehearse.class, ConfigCommand.class,
-            yewyoke.lab.Main.class})
+            FleetCommand.class, yewyoke.lab.Main.class})
 public final class Main {
     /** Nothing on the command line tells an operator who he is: this name of the process does. */
     private static final String NAME = "NODE_NAME";
@@ -67,17 +74,29 @@
             if (file != null) {
                 Logs.set(own.log(), name);
             }
-            String listen = own.metrics().listen();
-            InetSocketAddress at = listen == null ? null : Own.address(file, "metrics.listen", listen);
             String config = System.getenv("NODE_CONFIG");
+            String listen = own.admin().listen();
+            InetSocketAddress at = listen == null ? null : Own.address(file, "admin.listen", listen);
+            FleetConfig fleet = own.fleet() == null ? null : fleet(own.fleet(), name);
             int status = yewyoke.node.Main.run(new String[] {"serve"}, config, System.err, balancer -> {
+                MemberCarrier members = fleet == null ? null : MemberCarrier.start(balancer.loop(), fleet);
                 if (at != null) {
-                    Metrics metrics = new Metrics(at, name, balancer);
-                    LOG.log(System.Logger.Level.INFO, "metrics at " + metrics.address());
+                    Admin admin = new Admin(at, name, balancer.status(), members);
+                    LOG.log(System.Logger.Level.INFO, "operators are answered at " + admin.address());
                 }
             });
             return status == 0 ? GOES_ON : status;
         }
+
+        private FleetConfig fleet(Own.FleetPart part, String name) throws BadFile {
+            String version = new Version().getVersion()[0];
+            Meta meta = new Meta(part.zone() == null ? "" : part.zone(), version,
+                    System.currentTimeMillis(), List.of("serve"));
+            return new FleetConfig(Settings.of(part.name()), part.process() == null ? name : part.process(),
+                    Own.address(file, "fleet.listen", part.listen()),
+                    part.seeds() == null ? List.of() : part.seeds(),
+                    part.via() == null ? Map.of() : part.via(), meta);
+        }
     }
 
     /** The decisions on the simulator's wire. */
--- a/src/main/java/yewyoke/command/Own.java
+++ b/src/main/java/yewyoke/command/Own.java
@@ -1,12 +1,14 @@
 package yewyoke.command;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import yewyoke.toml.BadFile;
@@ -17,11 +19,12 @@
  * the value of {@link #DEFAULTS}, and with no file nothing of it is loaded.
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
-record Own(LogPart log, MetricsPart metrics) {
+record Own(LogPart log, AdminPart admin, FleetPart fleet) {
     private static final int MOST_PORT = 65_535;
+    private static final int LONGEST = 64;
     /** What holds where a file says nothing. */
     static final Own DEFAULTS = new Own(new LogPart(LogFormat.TEXT, LogLevel.INFO, Map.of()),
-            new MetricsPart(null));
+            new AdminPart(null), null);
 
     /** How a line of the log looks. */
     enum LogFormat {
@@ -35,9 +38,21 @@
     /** The log; {@code levels} has what differs from {@code level} in a subsystem, a package under ours. */
     record LogPart(LogFormat format, LogLevel level, Map<String, LogLevel> levels) { }
 
-    /** Figures for reading; {@code listen} is an address and port of the loopback, without one it is off. */
+    /** What operators read; {@code listen} is an address and port of the loopback, without one it is off. */
     @JsonInclude(JsonInclude.Include.NON_NULL)
-    record MetricsPart(String listen) { }
+    record AdminPart(String listen) { }
+
+    /**
+     * The fleet that this process is a member of; without it, it shares nothing.
+     *
+     * @param name of the fleet
+     * @param process this one's name in it; left out, the name of the process as the log has it
+     * @param via addresses to send to in place of those that members tell
+     */
+    @JsonInclude(JsonInclude.Include.NON_NULL)
+    record FleetPart(@JsonProperty(required = true) String name, String process,
+            @JsonProperty(required = true) String listen, List<String> seeds, Map<String, String> via,
+            String zone) { }
 
     /** Reads and checks a file and fills in the defaults. */
     static Own read(Path file) throws IOException, BadFile {
@@ -50,27 +65,54 @@
                 throw new BadFile(file, 0, "log.levels." + level.getKey(), "is not a subsystem as node");
             }
         }
-        MetricsPart metrics = read == null || read.metrics() == null ? DEFAULTS.metrics() : read.metrics();
-        if (metrics.listen() != null) {
-            address(file, "metrics.listen", metrics.listen());
+        AdminPart admin = read == null || read.admin() == null ? DEFAULTS.admin() : read.admin();
+        if (admin.listen() != null && !address(file, "admin.listen", admin.listen()).getAddress()
+                .isLoopbackAddress()) {
+            throw new BadFile(file, 0, "admin.listen", admin.listen() + " is not of the loopback");
+        }
+        FleetPart fleet = read == null ? null : read.fleet();
+        if (fleet != null) {
+            check(file, fleet);
         }
         return new Own(new LogPart(log.format() == null ? usual.format() : log.format(),
-                log.level() == null ? usual.level() : log.level(), levels), metrics);
+                log.level() == null ? usual.level() : log.level(), levels), admin, fleet);
+    }
+
+    private static void check(Path file, FleetPart fleet) throws BadFile {
+        require(file, "fleet.name", fleet.name(),
+                !fleet.name().isBlank() && fleet.name().length() <= LONGEST);
+        require(file, "fleet.process", fleet.process(), fleet.process() == null
+                || !fleet.process().isBlank() && fleet.process().length() <= LONGEST);
+        require(file, "fleet.zone", fleet.zone(), fleet.zone() == null || fleet.zone().length() <= LONGEST);
+        address(file, "fleet.listen", fleet.listen());
+        for (String seed : fleet.seeds() == null ? List.<String>of() : fleet.seeds()) {
+            address(file, "fleet.seeds", seed);
+        }
+        for (var way : (fleet.via() == null ? Map.<String, String>of() : fleet.via()).entrySet()) {
+            address(file, "fleet.via", way.getKey());
+            address(file, "fleet.via", way.getValue());
+        }
+    }
+
+    private static void require(Path file, String key, String value, boolean good) throws BadFile {
+        if (!good) {
+            throw new BadFile(file, 0, key, "\"" + value + "\" is empty or too long");
+        }
     }
 
-    /** An address and port as {@code 127.0.0.1:9464}; nothing of ours is open to other machines. */
+    /** An address and port as {@code 127.0.0.1:9464}; there is no DNS, so it has to be numbers. */
     static InetSocketAddress address(Path file, String key, String text) throws BadFile {
         int colon = text.lastIndexOf(':');
         byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-        try {
-            if (host != null && InetAddress.getByAddress(host).isLoopbackAddress()) {
+        if (host != null) {
+            try {
                 int port = Integer.parseInt(text.substring(colon + 1));
                 TomlFile.range(file, key, port, 0, MOST_PORT);
                 return new InetSocketAddress(InetAddress.getByAddress(host), port);
+            } catch (NumberFormatException | UnknownHostException e) {
+                throw new BadFile(file, 0, key, text + " is not an address and port as 127.0.0.1:9464");
             }
-        } catch (NumberFormatException | UnknownHostException e) {
-            throw new BadFile(file, 0, key, text + " is not an address and port as 127.0.0.1:9464");
         }
-        throw new BadFile(file, 0, key, text + " is not an address and port of the loopback");
+        throw new BadFile(file, 0, key, text + " is not an address and port as 127.0.0.1:9464");
     }
 }
--- a/src/main/java/yewyoke/lab/play/Fleet.java
+++ b/src/main/java/yewyoke/lab/play/Fleet.java
@@ -75,7 +75,7 @@
      * What a fleet is made of. Balancers are named b0, b1 and so on, upstreams u0, u1 and so on.
      *
      * @param warmUp so many microseconds of like traffic come first and do not count: a cold lab is late
-     * @param command starts one balancer, in the folder {@code home}
+     * @param command starts one balancer, in the folder {@code home}; {@code {name}} stands for its name
      * @param folder takes configurations and logs
      */
     public record Layout(int balancers, int upstreams, UpstreamKind kind, Rules rules, Traffic traffic,
@@ -175,7 +175,8 @@
         Files.writeString(config, new BalancerConfig(name, listen, list,
                 layout.seed() + position, position, layout.balancers(), 1_024, known,
                 layout.traffic().classes(), layout.rules()).json());
-        BalancerProcess process = new BalancerProcess(name, listen, layout.command(),
+        List<String> command = layout.command().stream().map(a -> a.replace("{name}", name)).toList();
+        BalancerProcess process = new BalancerProcess(name, listen, command,
                 layout.home(), config, layout.folder().resolve(name + ".log"));
         balancers.put(name, process);
         front.add(name, listen);
@@ -255,7 +256,7 @@
     }
 
     /** Brings a fault about now; a process is named, or one direction of a link from balancer to upstream. */
-    private void bring(Fault fault) {
+    public void bring(Fault fault) {
         try {
             if (fault instanceof Fault.Kill f && balancers.containsKey(f.process())) {
                 kill(f.process());
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import yewyoke.adapter.Adapter;
 import yewyoke.settings.BadInput;
 
@@ -57,12 +56,12 @@
 
     /** Returns 0 once serving or at the adapter's end, 1 if that failed, 2 after a wrong command line. */
     static int run(String[] args, String config, PrintStream err) {
-        return run(args, config, err, status -> { });
+        return run(args, config, err, balancer -> { });
     }
 
-    /** The same; once a balancer serves, {@code serving} gets whom to ask for its status. */
+    /** The same; {@code serving} gets the balancer once it serves. */
     public static int run(String[] args, String config, PrintStream err,
-            Consumer<Supplier<Future<Status>>> serving) {
+            Consumer<Running> serving) {
         if (args.length == 1 && args[0].equals("adapter")) {
             return Adapter.run(args, System.in, System.out, err);
         }
@@ -94,7 +93,7 @@
                 server.bind(Transport.TCP, found.listen()).sync();
             }
             server.open();
-            serving.accept(server::status);
+            serving.accept(new Running(group.next(), server::status));
             if (rehearse) {
                 group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
                 return served > 0 ? 0 : 1;
--- /dev/null
+++ b/src/main/java/yewyoke/node/Running.java
@@ -0,0 +1,13 @@
+package yewyoke.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.function.Supplier;
+
+/**
+ * A balancer that serves, for parts that are switched on beside it.
+ *
+ * @param loop where all of it happens; whoever lives there too must not keep it waiting
+ * @param status what it has done and what it holds, as of soon
+ */
+public record Running(EventLoop loop, Supplier<Future<Status>> status) { }
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -19,11 +19,12 @@
     /** Each package with all that it may use, the platform's own apart. */
     @ParameterizedTest
     @CsvSource({"yewyoke,", "yewyoke.toml,com.fasterxml.jackson..",
-        "yewyoke.command,yewyoke.toml yewyoke.node yewyoke.lab picocli io.netty.. "
+        "yewyoke.command,yewyoke.toml yewyoke.node yewyoke.lab yewyoke.fleet.. picocli io.netty.. "
         + "io.micrometer.. com.fasterxml.jackson..",
         "yewyoke.settings,yewyoke com.fasterxml.jackson.core..",
         "yewyoke.adapter,yewyoke yewyoke.settings com.fasterxml.jackson.core..", "yewyoke.lab.fault,",
         "yewyoke.fleet.member,com.fasterxml.jackson.core..",
+        "yewyoke.fleet.carrier,yewyoke.fleet.member io.netty..",
         "yewyoke.lab.virtual,yewyoke.lab.fault", "yewyoke.lab.check,",
         "yewyoke.lab.relay,yewyoke.lab.fault io.netty..",
         "yewyoke.lab.stand,yewyoke.lab.check io.netty.. com.fasterxml.jackson.core..",
@@ -48,7 +49,8 @@
     void whatServesKnowsNoMoreThanItNeeds() {
         noClasses().that().resideInAnyPackage("yewyoke", "yewyoke.node..", "yewyoke.adapter..",
                 "yewyoke.settings..").should().dependOnClassesThat().resideInAnyPackage("yewyoke.lab..",
-                "yewyoke.command..", "yewyoke.toml..", "picocli..", "com.fasterxml.jackson.databind..",
+                "yewyoke.command..", "yewyoke.toml..",
+                "yewyoke.fleet..", "picocli..", "com.fasterxml.jackson.databind..",
                 "io.micrometer..", "org.HdrHistogram..", "org.jfree..").check(PROGRAM);
     }
 
--- a/src/test/java/yewyoke/command/CommandTest.java
+++ b/src/test/java/yewyoke/command/CommandTest.java
@@ -28,7 +28,7 @@
             [log.levels]
             node = "debug"
 
-            [metrics]
+            [admin]
             listen = "127.0.0.1:0"
             """;
 
@@ -48,8 +48,8 @@
     @CsvSource(delimiter = '|', value = {"[log]|[lok]|:1: lok: ", "level =|levl =|:3: log.levl: ",
         "\"json\"|\"xml\"|:2: log.format: ", "\"json\"|3|:2: log.format: ",
         "node =|\"No de\" =|log.levels.No de: ", "format =|format|:2: ",
-        "127.0.0.1:0|10.1.2.3:80|metrics.listen: ", "127.0.0.1:0|127.0.0.1:http|metrics.listen: ",
-        "127.0.0.1:0|127.0.0.1:65536|metrics.listen: "})
+        "127.0.0.1:0|10.1.2.3:80|admin.listen: ", "127.0.0.1:0|127.0.0.1:http|admin.listen: ",
+        "127.0.0.1:0|127.0.0.1:65536|admin.listen: "})
     void aBadFileIsRefusedByFileLineAndKey(String good, String bad, String complaint) throws Exception {
         Path file = Files.writeString(folder.resolve("ours.toml"), GOOD.replace(good, bad));
         Said said = say("config", "check", file.toString());
@@ -67,7 +67,7 @@
         assertEquals(0, said.status(), said.err());
         Path shown = Files.writeString(folder.resolve("shown.toml"), said.out());
         assertEquals(new Own(new Own.LogPart(Own.LogFormat.JSON, Own.LogLevel.INFO,
-                Map.of("node", Own.LogLevel.DEBUG)), Own.DEFAULTS.metrics()), Own.read(shown));
+                Map.of("node", Own.LogLevel.DEBUG)), Own.DEFAULTS.admin(), null), Own.read(shown));
         Path nothing = Files.writeString(folder.resolve("nothing.toml"), say("config", "show").out());
         assertEquals(Own.DEFAULTS, Own.read(nothing));
     }
--- a/src/test/java/yewyoke/command/ServeTest.java
+++ b/src/test/java/yewyoke/command/ServeTest.java
@@ -32,7 +32,7 @@
 class ServeTest {
     private static final long MS = 1_000;
     private static final long SECOND = 1_000 * MS;
-    private static final String AT = "metrics at /127.0.0.1:";
+    private static final String AT = "operators are answered at /127.0.0.1:";
 
     @TempDir Path folder;
 
@@ -40,7 +40,7 @@
     @Test
     void figuresAndLogLinesAreAsConfigured() throws Exception {
         Path ours = Files.writeString(folder.resolve("ours.toml"),
-                "[log]\nformat = \"json\"\n[metrics]\nlisten = \"127.0.0.1:0\"\n");
+                "[log]\nformat = \"json\"\n[admin]\nlisten = \"127.0.0.1:0\"\n");
         List<String> command = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-Xmx96m", "-cp", System.getProperty("java.class.path"),
                 "yewyoke.command.Main", "serve", "--config", ours.toString());
