--- a/src/main/java/yewyoke/fleet/member/Membership.java
+++ b/src/main/java/yewyoke/fleet/member/Membership.java
@@ -34,6 +34,8 @@
     /** Beyond so many pieces of news, what comes by the comparison of pictures is not news for others. */
     private static final int ENOUGH_NEWS = 64;
     private static final int TOLD_OF_LEAVING = 8;
+    /** What the field of the news itself takes in a message. */
+    private static final int NEWS_BYTES = 12;
 
     private final Settings settings;
     private final List<String> seeds;
@@ -408,7 +410,7 @@
             timer(now, SUSPECT + claim.name(), suspicions.get(claim.name()).ends() - now);
         } else {
             suspicions.remove(claim.name());
-            checks.values().remove(claim.name());
+            checks.values().removeIf(claim.name()::equals);
         }
         tellOf(held, claim);
     }
@@ -501,7 +503,6 @@
 
     /** Somebody under our name speaks to us. That proves that he lives only if it answers what we asked. */
     private void fromOwnName(long now, String from, Message m) {
-        count("own name");
         aboutMe(now, m.me());
         if (m.kind() == Message.Kind.PING) {
             send(from, Message.Kind.ACK, m.number(), null);
@@ -570,9 +571,6 @@
 
     // ---- Sending ---------------------------------------------------------------------------------------
 
-    /** What the field of the news itself takes in a message. */
-    private static final int NEWS_BYTES = 12;
-
     private void contactSomebody() {
         List<String> lost = new ArrayList<>();
         List<String> known = new ArrayList<>();
--- a/src/main/java/yewyoke/lab/play/BalancerProcess.java
+++ b/src/main/java/yewyoke/lab/play/BalancerProcess.java
@@ -66,13 +66,17 @@
     /** Ends it at once, and waits until it is gone: a signal that it ignores would leave it behind. */
     public void kill() throws InterruptedException {
         if (process != null) {
-            process.destroyForcibly().waitFor();
+            close();
+            process.waitFor();
         }
     }
 
+    /** A command that is a shell, and waits for what it started, would leave that behind. */
     @Override public void close() {
         if (process != null) {
+            List<ProcessHandle> started = process.descendants().toList();
             process.destroyForcibly();
+            started.forEach(ProcessHandle::destroyForcibly);
         }
     }
 }
