--- a/src/main/java/yewyoke/fleet/member/Membership.java
+++ b/src/main/java/yewyoke/fleet/member/Membership.java
@@ -106,6 +106,7 @@
         this.random = new Random(seed);
         this.out = out;
         this.me = new Claim(name, life, incarnation, State.ALIVE, false, address, name, meta);
+        this.numbers = random.nextInt(Integer.MAX_VALUE); // late answers to an earlier life fit none of ours
     }
 
     // ---- What happens to it ----------------------------------------------------------------------------
