Let a fault of one link touch that link's connections alone

Relay.bring walked the connections of all links for each of them. It walks those of the link concerned now; healing all walks all. RelayTest and FleetTest pass.

--- a/src/main/java/yewyoke/lab/relay/Relay.java
+++ b/src/main/java/yewyoke/lab/relay/Relay.java
@@ -52,19 +52,25 @@
         loop.submit(() -> {
             if (fault instanceof Fault.Link f) {
                 links.set(f.from(), f.to(), f.fault());
+                between(f.from(), f.to()).forEach(StreamLink::go);
             } else if (fault instanceof Fault.Heal f) {
                 links.heal(f.from(), f.to());
+                between(f.from(), f.to()).forEach(StreamLink::go);
             } else if (fault instanceof Fault.HealAll) {
                 links.healAll();
+                streams.forEach(StreamLink::go);
             } else if (fault instanceof Fault.Reset f) {
-                streams.stream().filter(s -> s.between(f.one(), f.other())).forEach(StreamLink::reset);
+                between(f.one(), f.other()).forEach(StreamLink::reset);
             } else {
                 throw new IllegalArgumentException("not a fault of a link: " + fault);
             }
-            streams.forEach(StreamLink::go);
         }).syncUninterruptibly();
     }
 
+    private List<StreamLink> between(String one, String other) {
+        return streams.stream().filter(s -> s.between(one, other)).toList();
+    }
+
     /** Ends all links; what is on its way is gone. */
     @Override public void close() {
         loop.submit(() -> {
