Let go of the rehearsal's loop instead of starting a thread to announce its end

Seen: rehearsalStartsNoThread failed (expected [] but was [main]) when it ran alone or first, and passed when a test before it had used the library's global executor within a second. The stack: ManualIoEventLoop.runAllTasksBeforeDestroy completes the loop's end on GlobalEventExecutor, whose thread it starts; so each start of run started it too, from Rehearsal.run's shutdownGracefully. Now the rehearsal closes its own channels, which have names in the process, and lets go of the loop.

--- a/src/main/java/yewyoke/node/Rehearsal.java
+++ b/src/main/java/yewyoke/node/Rehearsal.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -51,6 +52,7 @@
     private static final int BODY = 1_000;
     private final Config config;
     private final ManualIoEventLoop loop;
+    private final List<Channel> channels = new ArrayList<>();
     private int left;
     private int sent;
     private int answered;
@@ -72,7 +74,11 @@
                 new ManualIoEventLoop(Thread.currentThread(), LocalIoHandler.newFactory());
         try {
             Rehearsal rehearsal = new Rehearsal(config, loop);
-            rehearsal.play();
+            try {
+                rehearsal.play();
+            } finally {
+                rehearsal.close();
+            }
             LOG.log(System.Logger.Level.INFO, "rehearsed with " + rehearsal.served + " requests");
             return rehearsal.served;
         } catch (InterruptedException e) {
@@ -80,11 +86,17 @@
         } catch (Exception e) {
             LOG.log(System.Logger.Level.WARNING, "could not rehearse, so the start is cold", e);
             return 0;
-        } finally {
-            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
-            while (!loop.isTerminated()) {
-                loop.runNow();
-            }
+        }
+    }
+
+    /**
+     * Ends what has a name of its own in this process. The loop itself is only let go of: told to end, it has
+     * that announced by a thread of the library, which the process would start for this alone.
+     */
+    private void close() throws InterruptedException {
+        List<ChannelFuture> closing = channels.stream().map(Channel::close).toList();
+        while (!closing.stream().allMatch(ChannelFuture::isDone)) {
+            turn();
         }
     }
 
@@ -99,6 +111,7 @@
     }
 
     private void await(ChannelFuture future) throws Exception {
+        channels.add(future.channel());
         while (!future.isDone()) {
             turn();
         }
@@ -117,10 +130,7 @@
         }
         Config rehearsed = new Config(config.listen(), config.discovery(), config.seed(), config.sockets(),
                 new ServerList(0, true, upstreams), config.facts());
-        ClientServer server = Main.serve(rehearsed, loop, Transport.MEMORY);
-        while (server.address() == null) {
-            turn();
-        }
+        await(Main.follow(rehearsed, loop, Transport.MEMORY).bind(Transport.MEMORY, config.listen()));
         for (int i = 0; i < CLIENTS; i++) {
             await(Transport.MEMORY.client(loop).handler(new ChannelInitializer<Channel>() {
                 @Override protected void initChannel(Channel channel) {
