End a planned stop earlier where others serve, and refuse what comes after its last answers

Ruled out: a drain that hangs (each ended by itself), crossing closes (taken at 2.94 s at the latest).

At fault: Main.stop, which takes requests until 0.5 s before the last answer however many others could take them; ClientServer, whose failAll runs once, so that what is read after it is sent on and has nobody to answer it. Now a balancer with others takes nothing new from 1.5 s before its last answer, and what is read after the last answers is refused at once, on a connection that closes. The test of the latter fails without it (504 after its deadline in place of 503).

--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -70,6 +70,8 @@
     private boolean open;
     private boolean stopping;
     private boolean closing;
+    /** The last answers of a planned stop are given: nobody would answer what is sent on after that. */
+    private boolean ended;
 
     ClientServer(EventLoop loop, Driver driver, SettingsReader.Found facts, int maxConnections) {
         this.loop = loop;
@@ -129,7 +131,10 @@
             listening.close();
             closeIdle();
         }, keepAcceptingMs, TimeUnit.MILLISECONDS);
-        loop.schedule(driver::failAll, lastAnswerMs, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> {
+            ended = true;
+            driver.failAll();
+        }, lastAnswerMs, TimeUnit.MILLISECONDS);
         return drained;
     }
 
@@ -240,7 +245,7 @@
                 reject(message, e.getMessage());
                 return;
             }
-            if (beyond && sessions.size() > maxConnections) {
+            if (ended || beyond && sessions.size() > maxConnections) {
                 message.release();
                 refused(0);
                 return;
@@ -276,7 +281,7 @@
                 answer.headers().set(HttpHeaderNames.RETRY_AFTER,
                         BigDecimal.valueOf(retryAfter, 6).toPlainString());
             }
-            if (closing || malformed || sessions.size() > KEPT_PART * maxConnections) {
+            if (closing || ended || malformed || sessions.size() > KEPT_PART * maxConnections) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -1,6 +1,5 @@
 package yewyoke.node;
 
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -31,6 +30,8 @@
     private static final long SPARE_MS = 300;
     /** Nothing new is taken for so long before the last answer; few requests take longer. */
     private static final long LAST_REQUESTS_MS = 500;
+    /** The same where others serve meanwhile: a stop that is late by half of this still loses nothing. */
+    private static final long LAST_REQUESTS_OF_MANY_MS = 1_500;
     /** New connections come for up to 0.4 s after SIGTERM; a little later none waits to be accepted. */
     private static final long LEAST_ACCEPTING_MS = 500;
 
@@ -106,12 +107,24 @@
         }
     }
 
-    /** With no other balancer to go to, each moment not served is lost: serves as long as is safe. */
+    /** When a planned stop takes nothing new any more, and when it answers all that is left, in ms. */
+    record Stop(long keepAccepting, long lastAnswer) {
+        /**
+         * With no other balancer to go to, each moment not served is lost: serves as long as is safe. With
+         * others, requests lost to a loop that is late cost more than those that others serve.
+         */
+        static Stop of(long longestDeadline, double balancers) {
+            long last = KILL_MS + Math.min(LONGEST_DEADLINE_MS, longestDeadline) - SPARE_MS;
+            long before = balancers > 1 ? LAST_REQUESTS_OF_MANY_MS : LAST_REQUESTS_MS;
+            return new Stop(Math.max(LEAST_ACCEPTING_MS, last - before), last);
+        }
+    }
+
     private static Future<Void> stop(Config config, ClientServer server) {
         long deadline = config.facts().settings().classes().stream().mapToLong(c -> c.giveUp() / 1_000).max()
                 .orElse(0);
-        long lastAnswer = KILL_MS + Math.min(LONGEST_DEADLINE_MS, deadline) - SPARE_MS;
-        return server.drain(Math.max(LEAST_ACCEPTING_MS, lastAnswer - LAST_REQUESTS_MS), lastAnswer);
+        Stop stop = Stop.of(deadline, config.facts().settings().groupSize());
+        return server.drain(stop.keepAccepting(), stop.lastAnswer());
     }
 
     /** A file that can't be used changes nothing: the balancer goes on with what it has. */
@@ -127,15 +140,12 @@
     /** Starts a balancer that is ready once opened; all of it lives on the one event loop. */
     static ClientServer serve(Config config, EventLoop loop, Transport transport) throws Exception {
         ClientServer server = follow(config, loop, transport);
-        ChannelFuture bound = server.bind(transport, config.listen());
-        if (!loop.inEventLoop()) { // whoever drives the loop can't wait for it
-            bound.sync();
-        }
+        server.bind(transport, config.listen()).sync();
         return server;
     }
 
     /** Brings up a balancer that follows discovery already, but to which no client can come yet. */
-    private static ClientServer follow(Config config, EventLoop loop, Transport transport) throws Exception {
+    static ClientServer follow(Config config, EventLoop loop, Transport transport) throws Exception {
         Callable<ClientServer> start = () -> {
             int descriptors = Math.max(0, config.sockets() - OWN_DESCRIPTORS);
             int forClients = Math.max(1, (int) (CLIENT_PART * descriptors));
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -648,6 +648,32 @@
         assertEquals(1, one.requests.size() + two.requests.size());
     }
 
+    /** The loop was late: a request that comes after the last answers would have none at the process's end. */
+    @Test
+    void afterTheLastAnswersOfAPlannedStopWhatStillComesIsRefusedAtOnce() throws Exception {
+        CountDownLatch taken = new CountDownLatch(1);
+        Server upstream = server((m, s) -> taken.countDown());
+        start(upstream);
+        Client idle = client();
+        Client inWork = client().write(submit());
+        assertTrue(taken.await(Sockets.PATIENCE_S, TimeUnit.SECONDS));
+        node.drain(60_000, 1);
+        assertTrue(inWork.read().status() >= 500);
+        Message answer = idle.write(submit()).read();
+        assertEquals(503, answer.status());
+        assertEquals("close", answer.headers().get("connection"));
+        assertEquals(1, upstream.requests.size());
+    }
+
+    /** Times in ms: SIGKILL comes 700 and the longest deadline, at most 3,000, after SIGTERM. */
+    @ParameterizedTest
+    @CsvSource({"5000, 1, 2900, 3400", "5000, 6, 1900, 3400", "1500, 1, 1400, 1900", "1500, 100, 500, 1900"})
+    void aPlannedStopLeavesMoreRoomWhereOthersServe(long deadline, int group, long accepts, long answers) {
+        Main.Stop stop = Main.Stop.of(deadline, group);
+        assertEquals(accepts, stop.keepAccepting());
+        assertEquals(answers, stop.lastAnswer());
+    }
+
     @Test
     void commandLineAndConfigAreChecked() throws Exception {
         assertEquals(2, run().exit());
