Read lists of discovery that come indented over several lines

Discovery split what came at each line's end and read each line as a whole object, so of an indented list every line was a broken one, and a balancer that gets only such lists had none. Lines are joined now until their braces close; an empty line or an object at the start of a line ends what was never closed.

--- a/src/main/java/yewyoke/node/Discovery.java
+++ b/src/main/java/yewyoke/node/Discovery.java
@@ -158,14 +158,17 @@
         }
     }
 
-    /** One call: each line that is not empty is a list. */
+    /** One call: each line that is not empty is a list, or a part of one that comes indented. */
     private final class Call extends SimpleChannelInboundHandler<ByteBuf> {
+        private final ListLines lines = new ListLines(MAX_LINE,
+                () -> broken("a list that was not closed"));
         private boolean told;
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
             pause = FIRST_PAUSE_MS;
-            if (line.isReadable()) {
-                line(ByteBufUtil.getBytes(line));
+            byte[] whole = lines.add(ByteBufUtil.getBytes(line));
+            if (whole != null && whole.length > 0) {
+                line(whole);
             }
         }
 
@@ -177,11 +180,7 @@
                 }
                 list = ServerList.read(json);
             } catch (IOException | BadInput e) {
-                if (!badLineLogged) {
-                    badLineLogged = true;
-                    LOG.log(System.Logger.Level.WARNING, "ignored a broken line of discovery: "
-                            + e.getMessage());
-                }
+                broken(e.getMessage());
                 return;
             }
             told = true;
@@ -189,6 +188,13 @@
             driver.list(list.full() ? ListKind.COMPLETE : ListKind.CHANGES, list);
         }
 
+        private void broken(String why) {
+            if (!badLineLogged) {
+                badLineLogged = true;
+                LOG.log(System.Logger.Level.WARNING, "ignored a broken line of discovery: " + why);
+            }
+        }
+
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof IOException || cause instanceof ReadTimeoutException)) {
                 LOG.log(System.Logger.Level.ERROR, "closed a call to discovery after a failure", cause);
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -12,6 +12,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -515,6 +516,29 @@
         assertEquals(before, other.requests.size());
     }
 
+    /** The standing trial's lists may be written for people; a heartbeat or a new object ends a broken one. */
+    @Test
+    void listsThatComeIndentedAreRead() throws Exception {
+        Server one = server(SERVE);
+        Server two = server(SERVE);
+        Server three = server(SERVE);
+        Server discovery = server((m, s) -> {
+            Sockets.beginChunks(s);
+            Sockets.chunk(s, "{\n  \"version\": 42, \"full\": true,\n  \"note\": \"}]{\\\"\",\n  \"servers\": [\n    "
+                    + entry("one", one.addr(), "Ready").replace(",", ",\n      ") + "\n  ]\n}");
+        });
+        start(ready(server(HANG)), discovery);
+        awaitServedBy(one);
+        Socket watch = discovery.accepted.get(0);
+        Sockets.chunk(watch, "{\"version\":43,\"full\":true,\"servers\":[");
+        Sockets.chunk(watch, "");
+        Sockets.chunk(watch, list(44, true, entry("two", two.addr(), "Ready")));
+        awaitServedBy(two);
+        Sockets.chunk(watch, "{\"version\":45,\"full\":true,\"servers\":[\n      "
+                + entry("three", three.addr(), "Ready") + "]}");
+        awaitServedBy(three);
+    }
+
     private void awaitServedBy(Server upstream) throws Exception {
         Client client = client();
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Sockets.PATIENCE_S);
