Add the core of agreement: a view with a number and a short log that outlive failures

Need: work on machines, and all that the fleet is to settle among itself, stands on one view and one log. Nothing of it can be switched on yet.

--- /dev/null
+++ b/src/main/java/yewyoke/fleet/agree/Machine.java
@@ -0,0 +1,19 @@
+package yewyoke.fleet.agree;
+
+/**
+ * What is fed by the log: all processes hand theirs the same calls in the same order, so it may look at
+ * nothing else, neither a clock nor chance.
+ */
+public interface Machine {
+    /** A command has been decided; {@code token} is greater than that of any decided before. */
+    void apply(Token token, Life by, byte[] command);
+
+    /** The members have been decided. */
+    void view(View view);
+
+    /** All that it holds, in a form of its own. */
+    byte[] snapshot();
+
+    /** Takes over what {@link #snapshot} gave elsewhere, in place of all that it held. */
+    void restore(byte[] snapshot);
+}
--- /dev/null
+++ b/src/main/java/yewyoke/fleet/agree/Token.java
@@ -0,0 +1,11 @@
+package yewyoke.fleet.agree;
+
+/**
+ * The place of a decree among all decrees, for use as a fencing token: a later one is greater, also after
+ * most processes have ended at once, when the log may begin anew.
+ */
+public record Token(long epoch, long index) implements Comparable<Token> {
+    @Override public int compareTo(Token other) {
+        return epoch != other.epoch ? Long.compare(epoch, other.epoch) : Long.compare(index, other.index);
+    }
+}
--- a/src/main/java/yewyoke/node/ListLines.java
+++ b/src/main/java/yewyoke/node/ListLines.java
@@ -19,7 +19,7 @@
         this.broken = broken;
     }
 
-    /** What is complete with this line, be it an object or what can't become one; null if more has to come. */
+    /** What is complete with this line, an object or what can't become one; null if more has to come. */
     byte[] add(byte[] line) {
         if (line.length > 0 && line[0] == '{' || line.length == 0 || begun.size() + line.length > longest) {
             if (begun.size() > 0) {
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -24,6 +24,7 @@
         "yewyoke.settings,yewyoke com.fasterxml.jackson.core..",
         "yewyoke.adapter,yewyoke yewyoke.settings com.fasterxml.jackson.core..", "yewyoke.lab.fault,",
         "yewyoke.fleet.member,com.fasterxml.jackson.core..",
+        "yewyoke.fleet.agree,com.fasterxml.jackson.core..",
         "yewyoke.fleet.carrier,yewyoke.fleet.member io.netty..",
         "yewyoke.lab.virtual,yewyoke.lab.fault", "yewyoke.lab.check,",
         "yewyoke.lab.relay,yewyoke.lab.fault io.netty..",
--- /dev/null
+++ b/src/test/java/yewyoke/fleet/agree/AgreementTest.java
@@ -0,0 +1,297 @@
+package yewyoke.fleet.agree;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static yewyoke.fleet.agree.VirtualAgreement.SECOND;
+import static yewyoke.fleet.agree.VirtualAgreement.names;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import yewyoke.lab.fault.Fault;
+import yewyoke.lab.fault.Plan;
+import yewyoke.lab.virtual.Explorer;
+
+/** Agreements in virtual time with faults between them: one history, one view, and on by itself. */
+class AgreementTest {
+    private static final AgreeSettings FIVE = AgreeSettings.of("dhaka", names(5));
+    private static final AgreeSettings THREE_OF_SIX = AgreeSettings.of("dhaka", names(3));
+    /** Keeps so little that whoever was away needs a snapshot. */
+    private static final AgreeSettings SHORT = new AgreeSettings("dhaka", names(5), FIVE.beat(),
+            FIVE.patience(), FIVE.stable(), FIVE.settling(), 8, FIVE.bytes());
+
+    private static VirtualAgreement settled(long seed, AgreeSettings settings, int count) {
+        VirtualAgreement fleet = new VirtualAgreement(seed, settings).with(count);
+        fleet.run(12 * SECOND);
+        assertNull(quiet(fleet));
+        return fleet;
+    }
+
+    /** Lets what is proposed be decided; what is wrong then, if anything. */
+    private static String quiet(VirtualAgreement fleet) {
+        fleet.nodes.values().forEach(n -> n.working = false);
+        fleet.run(3 * SECOND);
+        fleet.nodes.values().forEach(n -> n.working = true);
+        return fleet.broken.isEmpty() ? fleet.disagreement() : fleet.broken.get(0);
+    }
+
+    private static Optional<String> end(VirtualAgreement fleet) {
+        fleet.calm();
+        names(fleet.nodes.size()).stream().filter(n -> !fleet.world.alive(n))
+                .forEach(n -> fleet.world.bring(new Fault.Restart(n)));
+        fleet.run(30 * SECOND);
+        return Optional.ofNullable(quiet(fleet));
+    }
+
+    /** The wall clock stays as it is: tokens grow by it when nobody is left who knows the last one. */
+    private static Optional<String> play(long seed, Plan plan, AgreeSettings settings, int count) {
+        VirtualAgreement fleet = new VirtualAgreement(seed, settings).with(count);
+        fleet.run(8 * SECOND);
+        fleet.world.follow(new Plan(plan.steps().stream()
+                .filter(s -> !(s.fault() instanceof Fault.StepClock)).toList()));
+        fleet.run(30 * SECOND);
+        return end(fleet);
+    }
+
+    private static Optional<Explorer.Finding> explore(long first, int plays, String who) {
+        int count = who.equals("three of six") ? 6 : 5;
+        return Explorer.explore(first, plays, names(count), 25, 30 * SECOND,
+                (seed, plan) -> play(seed, plan, settings(who), count));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"five, 1, 15", "three of six, 1, 10", "short log, 101, 10"})
+    void underDrawnFaultsThereIsOneHistoryAndAfterThemOneView(String who, long first, int plays) {
+        var found = explore(first, plays, who);
+        assertTrue(found.isEmpty(), () -> found.orElseThrow().toString());
+    }
+
+    @Tag("long")
+    @ParameterizedTest
+    @CsvSource({"five", "three of six", "short log"})
+    void thousandsOfDrawnFaults(String who) {
+        int plays = Integer.getInteger("plays", 1_000);
+        var found = explore(Integer.getInteger("first", 1_000), plays, who);
+        System.out.println("agreement drawn | " + who + " | " + plays + " | "
+                + (found.isEmpty() ? "held" : found.get()) + " |");
+        assertTrue(found.isEmpty());
+    }
+
+    private static AgreeSettings settings(String who) {
+        return who.equals("five") ? FIVE : who.equals("short log") ? SHORT : THREE_OF_SIX;
+    }
+
+    // ---- Each point of fault in turn -------------------------------------------------------------------
+
+    /** All that an agreement does: a leader dies and comes back, a member stands still for long, one goes. */
+    private static VirtualAgreement busy(VirtualAgreement.At at) {
+        VirtualAgreement fleet = new VirtualAgreement(1, SHORT).with(6);
+        fleet.arm(at);
+        fleet.run(9 * SECOND);
+        String leader = fleet.living().stream().filter(n -> fleet.nodes.get(n).agreement.leads()).findFirst()
+                .orElse("m0");
+        if (fleet.world.alive(leader)) {
+            fleet.world.bring(new Fault.Kill(leader));
+        }
+        fleet.run(8 * SECOND);
+        fleet.world.bring(new Fault.Restart(leader));
+        fleet.run(8 * SECOND);
+        return fleet;
+    }
+
+    @Test
+    void aBusyFleetPassesEachPoint() {
+        VirtualAgreement fleet = busy(null);
+        assertEquals(Optional.empty(), end(fleet));
+        Map<Point, Integer> never = new EnumMap<>(Point.class);
+        for (Point p : Point.values()) {
+            if (!fleet.passes.containsKey(p)) {
+                never.put(p, 0);
+            }
+        }
+        assertEquals(Map.of(), never);
+    }
+
+    /** The first pass of most lies in a founding. */
+    @ParameterizedTest
+    @EnumSource(Point.class)
+    void aFaultAtAnyPointBreaksNothing(Point point) {
+        failAt(point, 1);
+    }
+
+    /** The last pass of most lies in the return of a member. */
+    @Tag("long")
+    @ParameterizedTest
+    @EnumSource(Point.class)
+    void aFaultAtTheLastPassOfAnyPointBreaksNothing(Point point) {
+        failAt(point, busy(null).passes.get(point));
+    }
+
+    private static void failAt(Point point, int pass) {
+        for (VirtualAgreement.Kind kind : VirtualAgreement.Kind.values()) {
+            VirtualAgreement.At at = new VirtualAgreement.At(point, pass, kind);
+            VirtualAgreement fleet = busy(at);
+            assertEquals(Optional.empty(), end(fleet), at::toString);
+            assertTrue(fleet.sprung, at::toString);
+        }
+    }
+
+    @Test
+    void theListOfPointsIsTheOneInTheDocuments() throws Exception {
+        List<String> listed = Files.readString(Path.of("docs", "faults.md")).lines()
+                .filter(l -> l.startsWith("| A")).map(l -> l.split("\\|"))
+                .map(cells -> cells[1].trim() + " " + cells[2].trim()).toList();
+        assertEquals(Arrays.stream(Point.values()).map(p -> "A" + (p.ordinal() + 1) + " " + p).toList(),
+                listed);
+    }
+
+    // ---- What is promised ------------------------------------------------------------------------------
+
+    @Test
+    void whenTheLeaderDiesDecreesGoOnWithinThreeSeconds() {
+        for (long seed = 1; seed <= 5; seed++) {
+            VirtualAgreement fleet = settled(seed, FIVE, 5);
+            String leader = fleet.nodes.get("m0").agreement.leader().name();
+            fleet.world.bring(new Fault.Kill(leader));
+            long before = fleet.nodes.get(fleet.living().get(0)).agreement.applied();
+            fleet.run(3 * SECOND);
+            for (String n : fleet.living()) {
+                assertTrue(fleet.nodes.get(n).agreement.applied() > before + 1, "seed " + seed + " " + n);
+            }
+        }
+    }
+
+    /** The smaller part knows that it can't go on; it decides nothing and founds nothing, however long. */
+    @Test
+    void inAPartitionTheLargerPartGoesOnAndTheSmallerOneKnows() {
+        VirtualAgreement fleet = settled(2, FIVE, 5);
+        fleet.cut(List.of("m0", "m1"), List.of("m2", "m3", "m4"), true);
+        fleet.run(5 * SECOND);
+        long small = fleet.nodes.get("m0").agreement.applied();
+        fleet.run(60 * SECOND);
+        for (String n : List.of("m0", "m1")) {
+            assertFalse(fleet.nodes.get(n).agreement.decides(fleet.world.now()), n);
+            assertEquals(small, fleet.nodes.get(n).agreement.applied(), n);
+        }
+        assertTrue(fleet.nodes.get("m2").agreement.decides(fleet.world.now()));
+        assertEquals(3, fleet.nodes.get("m2").agreement.view().lives().size());
+        fleet.calm();
+        fleet.run(8 * SECOND);
+        assertNull(quiet(fleet));
+        assertEquals(1, fleet.foundings.size(), "nobody began anew");
+    }
+
+    /** In parts without a majority nothing is decided; healed, it goes on in the same history. */
+    @Test
+    void threePartsWithoutAMajorityWaitForEachOther() {
+        VirtualAgreement fleet = settled(3, FIVE, 5);
+        fleet.cut(List.of("m0", "m1"), List.of("m2", "m3", "m4"), true);
+        fleet.cut(List.of("m2", "m3"), List.of("m4"), true);
+        fleet.run(20 * SECOND);
+        for (String n : fleet.living()) {
+            assertFalse(fleet.nodes.get(n).agreement.decides(fleet.world.now()), n);
+        }
+        fleet.calm();
+        fleet.run(5 * SECOND);
+        assertNull(quiet(fleet));
+        assertEquals(1, fleet.foundings.size());
+    }
+
+    /** A leader that hears and is not heard is replaced; one that is heard and does not hear gives up. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aLeaderBehindAOneWayCutIsReplaced(boolean outwards) {
+        VirtualAgreement fleet = settled(4, FIVE, 5);
+        String leader = fleet.nodes.get("m0").agreement.leader().name();
+        List<String> others = names(5).stream().filter(n -> !n.equals(leader)).toList();
+        fleet.cut(outwards ? List.of(leader) : others, outwards ? others : List.of(leader), false);
+        fleet.run(5 * SECOND);
+        assertFalse(fleet.nodes.get(leader).agreement.leads());
+        for (String n : others) {
+            assertTrue(fleet.nodes.get(n).agreement.decides(fleet.world.now()), n);
+        }
+    }
+
+    /** Most end at once and come back as others: those who live bring along what was decided. */
+    @Test
+    void whenMostLivesEndAtOnceTheFleetGoesOnWithWhatTheOthersKnow() {
+        VirtualAgreement fleet = settled(5, FIVE, 5);
+        long before = fleet.nodes.get("m4").machine.digest;
+        assertTrue(before != 0);
+        long decided = fleet.nodes.get("m4").agreement.applied();
+        List.of("m0", "m1", "m2", "m3").forEach(n -> fleet.world.bring(new Fault.Kill(n)));
+        fleet.run(20 * SECOND);
+        assertEquals(1, fleet.foundings.size(), "a minority founded");
+        List.of("m0", "m1", "m2", "m3").forEach(n -> fleet.world.bring(new Fault.Restart(n)));
+        fleet.run(20 * SECOND);
+        assertNull(quiet(fleet));
+        assertEquals(2, fleet.foundings.size());
+        assertTrue(fleet.nodes.get("m0").agreement.applied() > decided, "the history goes on");
+        assertEquals(List.of(), fleet.broken);
+    }
+
+    /** All end: what was decided is gone with them, and tokens go on growing. */
+    @Test
+    void whenAllLivesEndTheFleetBeginsAnewWithGreaterTokens() {
+        VirtualAgreement fleet = settled(6, FIVE, 5);
+        names(5).forEach(n -> fleet.world.bring(new Fault.Kill(n)));
+        names(5).forEach(n -> fleet.world.bring(new Fault.Restart(n)));
+        fleet.run(15 * SECOND);
+        assertNull(quiet(fleet));
+        assertTrue(fleet.foundings.get(1).view().epoch() > fleet.foundings.get(0).view().epoch());
+    }
+
+    /** All are restarted, one after the other, each when the one before is taken in: no decree is lost. */
+    @Test
+    void aRollingRestartLosesNoDecree() {
+        VirtualAgreement fleet = settled(7, FIVE, 5);
+        for (String n : names(5)) {
+            fleet.world.bring(new Fault.Restart(n));
+            fleet.run(10 * SECOND);
+            assertTrue(fleet.nodes.get("m4").agreement.view().has(fleet.nodes.get(n).me), n);
+        }
+        assertNull(quiet(fleet));
+        assertEquals(1, fleet.foundings.size());
+    }
+
+    @Test
+    void aCommandThatFitsInNoDatagramIsRefusedBySize() {
+        VirtualAgreement fleet = settled(8, FIVE, 5);
+        assertTrue(assertThrows(IllegalArgumentException.class, () -> fleet.nodes.get("m0").agreement
+                .propose(fleet.world.now(), new byte[1_400])).getMessage().contains("1400 bytes"));
+    }
+
+    /**
+     * Two of five have been restarted and one is cut off: four are here, and yet those taken in that live
+     * are three as well, so nothing may begin anew. The mutant, in which all say that they never had a vote,
+     * does so.
+     */
+    @ParameterizedTest
+    @CsvSource({"false", "true"})
+    void aMajorityOfNamesThatIsNoneOfNewLivesFoundsNothing(boolean mutant) {
+        VirtualAgreement fleet = settled(9, FIVE, 5);
+        if (mutant) {
+            fleet.says = m -> m.kind() == Message.Kind.SAY || m.kind() == Message.Kind.VOTE
+                    ? m.says(m.yes(), false, true) : m;
+        }
+        fleet.cut(List.of("m3"), List.of("m0", "m1", "m2", "m4"), true);
+        List.of("m0", "m1").forEach(n -> fleet.world.bring(new Fault.Restart(n)));
+        fleet.run(20 * SECOND);
+        assertEquals(mutant, fleet.foundings.size() > 1);
+        fleet.calm();
+        fleet.run(20 * SECOND);
+        assertTrue(mutant || quiet(fleet) == null);
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/fleet/agree/VirtualAgreement.java
@@ -0,0 +1,369 @@
+package yewyoke.fleet.agree;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.UnaryOperator;
+import yewyoke.fleet.member.Event;
+import yewyoke.fleet.member.Membership;
+import yewyoke.fleet.member.Meta;
+import yewyoke.lab.fault.Fault;
+import yewyoke.lab.fault.LinkFault;
+import yewyoke.lab.fault.Plan;
+import yewyoke.lab.virtual.Core;
+import yewyoke.lab.virtual.World;
+
+/**
+ * Processes with a membership and an agreement each, in virtual time, that propose all the while; what must
+ * hold at every moment is looked at with every decree, what must hold in the end when it is asked.
+ */
+final class VirtualAgreement {
+    static final long SECOND = 1_000_000;
+    private static final LinkFault LAN = new LinkFault(false, 200, 300, 0, 0);
+    /** Longer than any timer of an agreement or of the membership below it. */
+    private static final long LONG_STAND = 12 * SECOND;
+    private static final long WORK = 1_500_000;
+
+    final World world;
+    final Map<String, Node> nodes = new LinkedHashMap<>();
+    final List<String> broken = new ArrayList<>();
+    final Map<Point, Integer> passes = new EnumMap<>(Point.class);
+    final AgreeSettings settings;
+    final List<Note> foundings = new ArrayList<>();
+    long datagrams;
+    long bytes;
+    private final TreeMap<Token, Long> digests = new TreeMap<>();
+    private final Map<List<Long>, View> views = new LinkedHashMap<>();
+    private final SplittableRandom lives;
+    private View newest = View.NONE;
+    /** What is left of a message on its way: a mutant of the protocol, for those who look if it is seen. */
+    UnaryOperator<Message> says = UnaryOperator.identity();
+    private At armed;
+    boolean sprung;
+
+    /** What goes wrong at a point. */
+    enum Kind { CRASH, RESTART, STAND, LOST, DOUBLED, LATE, ERROR }
+
+    /** A fault at the n-th pass of a point, whoever passes. */
+    record At(Point point, int pass, Kind kind) { }
+
+    /** Ends a process in the middle of a step. */
+    private static final class Crashed extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Crashed() {
+            super(null, null, false, false);
+        }
+    }
+
+    VirtualAgreement(long seed, AgreeSettings settings) {
+        this.world = new World(seed, LAN);
+        this.settings = settings;
+        this.lives = new SplittableRandom(seed);
+    }
+
+    static List<String> names(int count) {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            names.add("m" + i);
+        }
+        return names;
+    }
+
+    VirtualAgreement with(int count) {
+        for (String name : names(count)) {
+            world.add(name, (p, seed, actions) -> {
+                Node node = new Node(p, seed, actions);
+                nodes.put(p, node);
+                return node;
+            });
+        }
+        return this;
+    }
+
+    void arm(At at) {
+        armed = at;
+        passes.clear();
+    }
+
+    void run(long micros) {
+        world.run(world.now() + micros);
+    }
+
+    void calm() {
+        world.bring(new Fault.HealAll());
+        nodes.keySet().stream().filter(world::alive).forEach(p -> world.bring(new Fault.Resume(p)));
+    }
+
+    List<String> living() {
+        return nodes.keySet().stream().filter(world::alive).toList();
+    }
+
+    void cut(List<String> some, List<String> others, boolean both) {
+        some.forEach(a -> others.forEach(b -> {
+            world.bring(new Fault.Link(a, b, LinkFault.CUT));
+            if (both) {
+                world.bring(new Fault.Link(b, a, LinkFault.CUT));
+            }
+        }));
+    }
+
+    /** What keeps the living from holding one view, of themselves, and one history; null if they do. */
+    String disagreement() {
+        TreeMap<String, Long> there = new TreeMap<>();
+        living().forEach(p -> there.put(p, nodes.get(p).me.life()));
+        long digest = living().isEmpty() ? 0 : nodes.get(living().get(0)).machine.digest;
+        for (String p : living()) {
+            Node n = nodes.get(p);
+            if (!n.agreement.view().lives().equals(there)) {
+                return p + " holds " + n.agreement.view() + ", there are " + there;
+            }
+            if (n.machine.digest != digest || n.agreement.waiting() > 0) {
+                return p + " has " + n.agreement.waiting() + " commands open, at decree "
+                        + n.agreement.applied();
+            }
+        }
+        return null;
+    }
+
+    /** One life with all that it holds. */
+    final class Node implements Core, Agreement.Out, Membership.Out {
+        final Life me;
+        final Agreement agreement;
+        final Chain machine = new Chain();
+        private final String process;
+        private final Actions actions;
+        private final Membership membership;
+        private final List<Runnable> held = new ArrayList<>();
+        private final Map<String, Runnable> late = new TreeMap<>();
+        private Kind next;
+        private boolean standing;
+        private boolean changed = true;
+        boolean working = true;
+        private int worked;
+
+        Node(String process, long seed, Actions actions) {
+            this.process = process;
+            this.actions = actions;
+            this.me = new Life(process, lives.nextLong(1, Long.MAX_VALUE));
+            this.membership = new Membership(yewyoke.fleet.member.Settings.of("dhaka"), process, me.life(), 0,
+                    process, Meta.NONE, names(3), seed, this);
+            this.agreement = new Agreement(settings, me, seed, machine, this);
+        }
+
+        private void step(Runnable what) {
+            try {
+                if (!standing) {
+                    held.forEach(Runnable::run);
+                    held.clear();
+                }
+                what.run();
+                if (standing) {
+                    standing = false;
+                    world.bring(new Fault.Pause(process));
+                    world.follow(new Plan(List.of(new Plan.Step(LONG_STAND, new Fault.Resume(process)))));
+                }
+            } catch (Crashed e) {
+                world.bring(new Fault.Kill(process));
+            }
+        }
+
+        @Override public void started(long now) {
+            step(() -> {
+                membership.started(now);
+                agreement.started(now);
+                actions.timer("work", WORK);
+                look(now);
+            });
+        }
+
+        @Override public void received(long now, String from, byte[] message) {
+            step(() -> {
+                if (Agreement.isOurs(message)) {
+                    agreement.received(now, message);
+                } else {
+                    membership.received(now, from, message);
+                }
+                look(now);
+            });
+        }
+
+        @Override public void due(long now, String token) {
+            step(() -> {
+                if (token.startsWith("late")) {
+                    late.remove(token).run();
+                } else if (token.equals("work")) {
+                    if (working) {
+                        agreement.propose(now, (me + "#" + worked++).getBytes(StandardCharsets.UTF_8));
+                    }
+                    actions.timer("work", WORK);
+                } else if (token.startsWith("agree:")) {
+                    agreement.due(now, token.substring(6));
+                } else {
+                    membership.due(now, token);
+                }
+                look(now);
+            });
+        }
+
+        private void look(long now) {
+            if (changed) {
+                changed = false;
+                Map<String, Long> there = new TreeMap<>();
+                membership.members().stream().filter(c -> c.state().present())
+                        .forEach(c -> there.put(c.name(), c.life()));
+                agreement.present(now, there);
+            }
+        }
+
+        @Override public void send(String to, byte[] whole) {
+            if (!Agreement.isOurs(whole)) {
+                actions.send(to, whole);
+                return;
+            }
+            byte[] datagram = mutated(whole);
+            datagrams++;
+            bytes += datagram.length;
+            Kind kind = next;
+            next = null;
+            if (standing) {
+                held.add(() -> actions.send(to, datagram));
+            } else if (kind == Kind.LATE) {
+                String token = "late" + late.size() + world.now();
+                late.put(token, () -> actions.send(to, datagram));
+                actions.timer(token, 5 * SECOND);
+            } else if (kind == Kind.ERROR) {
+                throw new UncheckedIOException(new IOException("the carrier can't"));
+            } else if (kind != Kind.LOST) {
+                actions.send(to, datagram);
+                if (kind == Kind.DOUBLED) {
+                    actions.send(to, datagram);
+                }
+            }
+        }
+
+        private byte[] mutated(byte[] datagram) {
+            try {
+                return Wire.write(settings.fleet(), says.apply(Wire.read(datagram, settings.fleet())));
+            } catch (Wire.Refused e) {
+                throw new AssertionError(e);
+            }
+        }
+
+        @Override public void timer(String token, long delay) {
+            actions.timer(token.equals("beat") ? "agree:" + token : token, delay);
+        }
+
+        @Override public long wall() {
+            return 1_700_000_000L * SECOND + actions.wall();
+        }
+
+        @Override public void event(Event event) {
+            changed = true;
+        }
+
+        @Override public void note(Note note) {
+            actions.note(note.toString());
+            if (note.kind() == Note.Kind.FOUNDED && note.view().epoch() > newest.epoch()) {
+                foundings.add(note);
+                long left = settings.council().stream().filter(c -> world.alive(c)
+                        && newest.has(nodes.get(c).me)).count();
+                if (left >= settings.quorum() && !living().containsAll(settings.council())) {
+                    broken.add(me + " founded " + note.view() + " though " + left + " of " + newest
+                            + " live");
+                }
+            }
+            if (note.kind() == Note.Kind.FOUNDED || note.kind() == Note.Kind.VIEW) {
+                View its = note.view();
+                View before = views.putIfAbsent(List.of(its.epoch(), its.number()), its);
+                if (before != null && !before.equals(note.view())) {
+                    broken.add("two views of one number: " + before + " and " + note.view());
+                }
+                boolean newer = its.epoch() > newest.epoch()
+                        || its.epoch() == newest.epoch() && its.number() > newest.number();
+                newest = newer ? its : newest;
+            }
+        }
+
+        @Override public void point(Point point) {
+            int pass = passes.merge(point, 1, Integer::sum);
+            if (armed == null || point != armed.point() || pass != armed.pass() || sprung) {
+                return;
+            }
+            sprung = true;
+            switch (armed.kind()) {
+                case CRASH -> throw new Crashed();
+                case RESTART -> {
+                    world.follow(new Plan(List.of(new Plan.Step(SECOND, new Fault.Restart(process)))));
+                    throw new Crashed();
+                }
+                case STAND -> standing = true;
+                default -> next = armed.kind();
+            }
+        }
+
+        /** A digest of all that was decided, in its order. */
+        final class Chain implements Machine {
+            long digest;
+            private TreeSet<String> seen = new TreeSet<>();
+
+            private void mix(String what) {
+                for (byte b : what.getBytes(StandardCharsets.UTF_8)) {
+                    digest = digest * 1_000_003 + b;
+                }
+            }
+
+            @Override public void apply(Token token, Life by, byte[] command) {
+                String text = new String(command, StandardCharsets.UTF_8);
+                if (!seen.add(text)) {
+                    broken.add(me + " took in " + text + " twice");
+                }
+                mix(token + by.toString() + text);
+                Long before = digests.get(token);
+                if (before == null) {
+                    if (!digests.isEmpty() && token.compareTo(digests.lastKey()) < 0) {
+                        broken.add(me + " decided " + token + " after " + digests.lastKey());
+                    }
+                    digests.put(token, digest);
+                } else if (before != digest) {
+                    broken.add(me + " has another history up to " + token);
+                }
+            }
+
+            @Override public void view(View view) {
+                mix(view.toString());
+            }
+
+            @Override public byte[] snapshot() {
+                ByteArrayOutputStream out = new ByteArrayOutputStream();
+                try (DataOutputStream data = new DataOutputStream(out)) {
+                    data.writeLong(digest);
+                    data.writeUTF(String.join(",", seen));
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+                return out.toByteArray();
+            }
+
+            @Override public void restore(byte[] snapshot) {
+                ByteBuffer data = ByteBuffer.wrap(snapshot);
+                digest = data.getLong();
+                byte[] text = new byte[data.getShort() & 0xFFFF];
+                data.get(text);
+                seen = new TreeSet<>(List.of(new String(text, StandardCharsets.UTF_8).split(",")));
+                seen.remove("");
+            }
+        }
+    }
+}
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -516,7 +516,7 @@
         assertEquals(before, other.requests.size());
     }
 
-    /** The standing trial's lists may be written for people; a heartbeat or a new object ends a broken one. */
+    /** Lists may be written for people; a heartbeat or a new object ends a broken one. */
     @Test
     void listsThatComeIndentedAreRead() throws Exception {
         Server one = server(SERVE);
@@ -524,7 +524,8 @@
         Server three = server(SERVE);
         Server discovery = server((m, s) -> {
             Sockets.beginChunks(s);
-            Sockets.chunk(s, "{\n  \"version\": 42, \"full\": true,\n  \"note\": \"}]{\\\"\",\n  \"servers\": [\n    "
+            Sockets.chunk(s, "{\n  \"version\": 42, \"full\": true,\n  \"note\": \"}]{\\\"\",\n"
+                    + "  \"servers\": [\n    "
                     + entry("one", one.addr(), "Ready").replace(",", ",\n      ") + "\n  ]\n}");
         });
         start(ready(server(HANG)), discovery);
@@ -672,7 +673,7 @@
         assertEquals(1, one.requests.size() + two.requests.size());
     }
 
-    /** The loop was late: a request that comes after the last answers would have none at the process's end. */
+    /** The loop was late: what comes after the last answers would have none when the process ends. */
     @Test
     void afterTheLastAnswersOfAPlannedStopWhatStillComesIsRefusedAtOnce() throws Exception {
         CountDownLatch taken = new CountDownLatch(1);
