Count a voter as heard when it was asked, and nobody else, at the start of a lead

Need: a new leader counted every life that it knew as heard just then, for 0.8 s, though an answer counts from when its question was sent.

--- a/src/main/java/yewyoke/fleet/agree/Agreement.java
+++ b/src/main/java/yewyoke/fleet/agree/Agreement.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -91,7 +92,8 @@
     private static final class Peer {
         long next;
         long match;
-        long heardAt = Long.MIN_VALUE;
+        /** Half of the least, so that the time since then is a number. */
+        long heardAt = Long.MIN_VALUE / 2;
         long offset = -1;
         long viewNumber = -1;
         Map<String, Long> cut = Map.of();
@@ -278,13 +280,14 @@
         return heard >= settings.quorum();
     }
 
-    private void lead(long now, boolean founding, Map<String, Life> votes) {
+    /** Leads from now on; those who voted were heard when they were asked, and nobody else was. */
+    private void lead(long now, boolean founding, Map<String, Life> votes, long askedAt) {
         leader = me;
         contactAt = now;
         peers.clear();
         out.point(Point.ELECTED);
         lives().forEach(l -> peers.put(l, new Peer(log.last() + 1)));
-        peers.values().forEach(p -> p.heardAt = now);
+        votes.values().stream().map(peers::get).filter(Objects::nonNull).forEach(p -> p.heardAt = askedAt);
         out.note(new Note(Note.Kind.LEADS, view, "term " + term));
         if (founding) {
             Map<String, Long> founders = new TreeMap<>();
@@ -725,6 +728,7 @@
         private int votesOfNew;
         private long asked = -1;
         private boolean candidate;
+        private long begunAt;
         private boolean founding;
         private Term highest = Term.NONE;
 
@@ -839,6 +843,7 @@
             leader = null;
             acknowledged = 0;
             candidate = true;
+            begunAt = now;
             founding = toFound;
             votes.clear();
             votes.put(me.name(), me);
@@ -880,7 +885,7 @@
             if (founding ? enough(votes.size(), votesOfNew) : votes.size() >= settings.quorum()) {
                 candidate = false;
                 asked = -1;
-                lead(now, founding, votes);
+                lead(now, founding, votes, begunAt);
             }
         }
     }
