--- a/src/main/java/yewyoke/fleet/agree/Agreement.java
+++ b/src/main/java/yewyoke/fleet/agree/Agreement.java
@@ -543,6 +543,12 @@
 
     private void entries(long now, Message m) {
         out.point(Point.ENTRIES_TAKEN);
+        for (int i = 0; i < m.entries().size(); i++) {
+            if (m.entries().get(i).index() != m.index() + 1 + i) {
+                count("malformed");
+                return;
+            }
+        }
         if (!ofLeader(now, m)) {
             return;
         }
@@ -593,7 +599,8 @@
         }
         if (m.at().equals(log.termAt(m.index())) || m.index() <= acknowledged) {
             // A late one: what it stands for is held, and more may be acknowledged since.
-            acknowledge(now, m, true, Math.max(acknowledged, m.index()));
+            acknowledged = Math.max(acknowledged, m.index());
+            acknowledge(now, m, true, acknowledged);
             return;
         }
         if (partial == null || !partial.term().equals(term) || partial.index() != m.index()) {
--- a/src/test/java/yewyoke/fleet/agree/AgreementTest.java
+++ b/src/test/java/yewyoke/fleet/agree/AgreementTest.java
@@ -266,6 +266,24 @@
         assertEquals(1, fleet.foundings.size());
     }
 
+    /** A process that garbles the places of its entries is refused by a reason, and no log takes them in. */
+    @Test
+    void entriesThatDoNotFollowEachOtherAreRefused() {
+        VirtualAgreement fleet = settled(8, FIVE, 5);
+        long before = fleet.nodes.get("m0").agreement.applied();
+        fleet.says = m -> m.with(m.entries().stream().map(e -> new Entry(e.index() + 1, e.term(), e.kind(),
+                e.change(), null, e.by(), e.number(), e.command())).toList(), m.offset());
+        fleet.run(5 * SECOND);
+        for (String n : names(5)) {
+            Agreement its = fleet.nodes.get(n).agreement;
+            assertEquals(before, its.applied(), n);
+            assertTrue(its.leads() || its.refused().getOrDefault("malformed", 0L) > 0, n);
+        }
+        fleet.says = m -> m;
+        fleet.run(3 * SECOND);
+        assertNull(quiet(fleet));
+    }
+
     @Test
     void aCommandThatFitsInNoDatagramIsRefusedBySize() {
         VirtualAgreement fleet = settled(8, FIVE, 5);
