Carry the agreement over the datagrams of membership, with a view for operators

Need: the core of agreement could not be switched on. Change: [fleet] council names those who decide; an AgreeCarrier shares the socket and the event loop of the membership; /agreement and fleet members show view, leader and whether a majority stands behind it. A property of the lab alone fails a process at a numbered point. Machine.OF_VIEWS stands in until something is fed by the log. Without a council nothing of it is loaded.

--- a/src/main/java/yewyoke/command/Admin.java
+++ b/src/main/java/yewyoke/command/Admin.java
@@ -39,13 +39,14 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
+import yewyoke.fleet.carrier.AgreeCarrier;
 import yewyoke.fleet.carrier.MemberCarrier;
 import yewyoke.node.Status;
 
 /**
- * For operators, over the loopback: the figures of one balancer ({@code /metrics}), and what it holds of its
- * fleet ({@code /members}). It has a thread of its
- * own; the balancer pays for one event of its loop each time somebody reads. For one that is too busy for
+ * For operators, over the loopback: the figures of one balancer ({@code /metrics}), what it holds of its
+ * fleet ({@code /members}) and of what that agrees on ({@code /agreement}). It has a thread of its own; the
+ * balancer pays for one event of its loop each time somebody reads. For one that is too busy for
  * that within a second the answer is 503, which tells as much.
  */
 final class Admin implements AutoCloseable {
@@ -60,14 +61,17 @@
     private final Supplier<Future<Status>> balancer;
     /** Null where no peers are configured. */
     private final MemberCarrier members;
+    /** Null where no council is configured. */
+    private final AgreeCarrier agreement;
     private final Channel listening;
     private volatile Status status = NOTHING;
 
-    /** Answers at an address from now on; {@code members} is null where no peers are configured. */
+    /** Answers at an address from now on; what is not configured is null. */
     Admin(InetSocketAddress listen, String process, Supplier<Future<Status>> balancer,
-            MemberCarrier members) {
+            MemberCarrier members, AgreeCarrier agreement) {
         this.balancer = balancer;
         this.members = members;
+        this.agreement = agreement;
         registry.config().commonTags("process", process);
         new JvmMemoryMetrics().bindTo(registry);
         new FileDescriptorMetrics().bindTo(registry);
@@ -129,17 +133,22 @@
             switch (request.uri()) {
                 case "/metrics" -> answer(ctx, refresh() ? registry.scrape() : null,
                         "text/plain; version=0.0.4; charset=utf-8");
-                case "/members" -> {
-                    if (members == null) {
-                        answer(ctx, HttpResponseStatus.NOT_FOUND, "no peers are configured\n", "text/plain");
-                    } else {
-                        MemberCarrier.Look look = got(members.look());
-                        answer(ctx, look == null ? null : JSON.writeValueAsString(look), "application/json");
-                    }
-                }
-                default -> answer(ctx, HttpResponseStatus.NOT_FOUND, "try /metrics or /members\n",
-                        "text/plain");
+                case "/members" -> look(ctx, members == null ? null : members::look, "no peers are");
+                case "/agreement" -> look(ctx, agreement == null ? null : agreement::look, "no council is");
+                default -> answer(ctx, HttpResponseStatus.NOT_FOUND,
+                        "try /metrics, /members or /agreement\n", "text/plain");
+            }
+        }
+
+        /** What a part holds; {@code part} is null where it is not configured. */
+        private void look(ChannelHandlerContext ctx, Supplier<? extends Future<?>> part, String without)
+                throws JsonProcessingException {
+            if (part == null) {
+                answer(ctx, HttpResponseStatus.NOT_FOUND, without + " configured\n", "text/plain");
+                return;
             }
+            Object look = got(part.get());
+            answer(ctx, look == null ? null : JSON.writeValueAsString(look), "application/json");
         }
 
         private void answer(ChannelHandlerContext ctx, String text, String type) {
--- a/src/main/java/yewyoke/command/FleetCommand.java
+++ b/src/main/java/yewyoke/command/FleetCommand.java
@@ -9,7 +9,10 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -37,7 +40,8 @@
         private CommandSpec spec;
 
         @Override public Integer call() throws Exception {
-            String text = get("http://" + at + "/members");
+            String text = get("/members").orElseThrow(() -> new IOException(
+                    at + ": no peers are configured"));
             PrintWriter out = spec.commandLine().getOut();
             if (json) {
                 out.println(text);
@@ -56,20 +60,44 @@
                         c.get("address").asText(), c.at("/meta/zone").asText(), c.get("by").asText(),
                         c.get("rival").asBoolean() ? "NAME HELD TWICE" : "");
             }
+            dropped(out, look);
+            Optional<String> agreed = get("/agreement");
+            if (agreed.isPresent()) {
+                agreement(out, JsonMapper.builder().build().readTree(agreed.get()));
+            }
+            return 0;
+        }
+
+        private static void dropped(PrintWriter out, JsonNode look) {
             look.get("refused").fields().forEachRemaining(r -> out.printf(Locale.ROOT,
                     "%d datagrams dropped: %s%n", r.getValue().asLong(), r.getKey()));
-            return 0;
         }
 
-        private static String get(String uri) throws IOException, InterruptedException {
+        /** What is agreed on, where that is switched on. */
+        private static void agreement(PrintWriter out, JsonNode look) {
+            List<String> lives = new ArrayList<>();
+            look.at("/view/lives").fieldNames().forEachRemaining(lives::add);
+            out.printf(Locale.ROOT, "view %d of epoch %d: %s; %s, %s, %d decrees%n",
+                    look.at("/view/number").asLong(), look.at("/view/epoch").asLong(),
+                    String.join(" ", lives), look.get("leader").isNull() ? "no leader is known"
+                    : "led by " + look.at("/leader/name").asText(),
+                    look.get("decides").asBoolean() ? "a majority stands behind it"
+                    : "CUT OFF: no majority is heard", look.get("applied").asLong());
+            dropped(out, look);
+        }
+
+        /** What the process answers; nothing where it has no such part. */
+        private Optional<String> get(String part) throws IOException, InterruptedException {
+            String uri = "http://" + at + part;
             try {
                 HttpResponse<String> answer = HttpClient.newHttpClient().send(HttpRequest
                         .newBuilder(URI.create(uri)).timeout(PATIENCE).build(),
                         HttpResponse.BodyHandlers.ofString());
-                if (answer.statusCode() == 200) {
-                    return answer.body();
-                }
-                throw new IOException(uri + ": " + answer.body().trim());
+                return switch (answer.statusCode()) {
+                    case 200 -> Optional.of(answer.body());
+                    case 404 -> Optional.empty();
+                    default -> throw new IOException(uri + ": " + answer.body().trim());
+                };
             } catch (IllegalArgumentException e) {
                 throw new IOException("--at: not an address and port: " + uri, e);
             } catch (IOException e) {
--- a/src/main/java/yewyoke/command/Main.java
+++ b/src/main/java/yewyoke/command/Main.java
@@ -8,8 +8,12 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import yewyoke.fleet.agree.AgreeSettings;
+import yewyoke.fleet.agree.Machine;
+import yewyoke.fleet.carrier.AgreeCarrier;
 import yewyoke.fleet.carrier.FleetConfig;
 import yewyoke.fleet.carrier.MemberCarrier;
+import yewyoke.fleet.carrier.PointFault;
 import yewyoke.fleet.member.Meta;
 import yewyoke.fleet.member.Settings;
 import yewyoke.toml.BadFile;
@@ -78,10 +82,14 @@
             String listen = own.admin().listen();
             InetSocketAddress at = listen == null ? null : Own.address(file, "admin.listen", listen);
             FleetConfig fleet = own.fleet() == null ? null : fleet(own.fleet(), name);
+            AgreeSettings council = fleet == null || own.fleet().council() == null ? null
+                    : AgreeSettings.of(own.fleet().name(), own.fleet().council());
             int status = yewyoke.node.Main.run(new String[] {"serve"}, config, System.err, balancer -> {
                 MemberCarrier members = fleet == null ? null : MemberCarrier.start(balancer.loop(), fleet);
+                AgreeCarrier agreement = council == null ? null : AgreeCarrier.start(members, council,
+                        Machine.OF_VIEWS, PointFault.of(System.getProperty(PointFault.PROPERTY)));
                 if (at != null) {
-                    Admin admin = new Admin(at, name, balancer.status(), members);
+                    Admin admin = new Admin(at, name, balancer.status(), members, agreement);
                     LOG.log(System.Logger.Level.INFO, "operators are answered at " + admin.address());
                 }
             });
--- a/src/main/java/yewyoke/command/Own.java
+++ b/src/main/java/yewyoke/command/Own.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import yewyoke.fleet.agree.AgreeSettings;
 import yewyoke.toml.BadFile;
 import yewyoke.toml.TomlFile;
 
@@ -48,11 +49,12 @@
      * @param name of the fleet
      * @param process this one's name in it; left out, the name of the process as the log has it
      * @param via addresses to send to in place of those that members tell
+     * @param council names of the processes that decide for all; without it nothing is agreed on
      */
     @JsonInclude(JsonInclude.Include.NON_NULL)
     record FleetPart(@JsonProperty(required = true) String name, String process,
             @JsonProperty(required = true) String listen, List<String> seeds, Map<String, String> via,
-            String zone) { }
+            String zone, List<String> council) { }
 
     /** Reads and checks a file and fills in the defaults. */
     static Own read(Path file) throws IOException, BadFile {
@@ -85,6 +87,13 @@
                 || !fleet.process().isBlank() && fleet.process().length() <= LONGEST);
         require(file, "fleet.zone", fleet.zone(), fleet.zone() == null || fleet.zone().length() <= LONGEST);
         address(file, "fleet.listen", fleet.listen());
+        if (fleet.council() != null) {
+            try {
+                AgreeSettings.of(fleet.name(), fleet.council());
+            } catch (IllegalArgumentException e) {
+                throw new BadFile(file, 0, "fleet.council", e.getMessage());
+            }
+        }
         for (String seed : fleet.seeds() == null ? List.<String>of() : fleet.seeds()) {
             address(file, "fleet.seeds", seed);
         }
--- /dev/null
+++ b/src/main/java/yewyoke/fleet/carrier/AgreeCarrier.java
@@ -0,0 +1,141 @@
+package yewyoke.fleet.carrier;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.security.SecureRandom;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import yewyoke.fleet.agree.AgreeSettings;
+import yewyoke.fleet.agree.Agreement;
+import yewyoke.fleet.agree.Life;
+import yewyoke.fleet.agree.Machine;
+import yewyoke.fleet.agree.Note;
+import yewyoke.fleet.agree.Point;
+import yewyoke.fleet.agree.Term;
+import yewyoke.fleet.agree.View;
+import yewyoke.fleet.member.Claim;
+
+/**
+ * A process's agreement, over the datagrams and on the event loop of its membership: what is seen there is
+ * who is there, and names have the addresses that their members tell.
+ */
+public final class AgreeCarrier implements Agreement.Out {
+    private static final System.Logger LOG = System.getLogger(AgreeCarrier.class.getName());
+
+    private final MemberCarrier members;
+    private final EventLoop loop;
+    private final Consumer<Point> points;
+    private final Life me;
+    private final Agreement agreement;
+    private final Map<String, String> addresses = new TreeMap<>();
+    private boolean lookDue;
+
+    /**
+     * What a process holds of its fleet's agreement.
+     *
+     * @param leader null if it knows none
+     * @param decides whether a majority of the council stands behind what it hears
+     * @param applied decrees known here
+     * @param waiting commands of this process that are not decided
+     */
+    public record Look(Life self, Term term, Life leader, boolean decides, View view, long applied,
+            int waiting, Map<String, Long> refused) { }
+
+    private AgreeCarrier(MemberCarrier members, AgreeSettings settings, Machine machine,
+            Consumer<Point> points) {
+        this.members = members;
+        this.loop = members.loop();
+        this.points = points;
+        Claim self = members.self();
+        this.me = new Life(self.name(), self.life());
+        this.agreement = new Agreement(settings, me, new SecureRandom().nextLong(), machine, this);
+    }
+
+    /** Takes part from now on. {@code points} hears of each point of fault that is passed; for the lab. */
+    public static AgreeCarrier start(MemberCarrier members, AgreeSettings settings, Machine machine,
+            Consumer<Point> points) {
+        AgreeCarrier carrier = new AgreeCarrier(members, settings, machine, points);
+        carrier.loop.submit(() -> {
+            members.host(carrier);
+            carrier.agreement.started(carrier.now());
+            carrier.lookAround();
+        }).syncUninterruptibly();
+        return carrier;
+    }
+
+    /** What it holds, as of soon. */
+    public Future<Look> look() {
+        return loop.submit(this::held);
+    }
+
+    private Look held() {
+        return new Look(me, agreement.term(), agreement.leader(), agreement.decides(now()), agreement.view(),
+                agreement.applied(), agreement.waiting(), agreement.refused());
+    }
+
+    private long now() {
+        return members.now();
+    }
+
+    /** A datagram has come that is meant for an agreement. */
+    void received(byte[] datagram) {
+        agreement.received(now(), datagram);
+    }
+
+    /** Something has changed in the picture; looked at once, when the membership is done with it. */
+    void changed() {
+        if (!lookDue) {
+            lookDue = true;
+            loop.execute(this::lookAround);
+        }
+    }
+
+    private void lookAround() {
+        lookDue = false;
+        Map<String, Long> there = new TreeMap<>();
+        addresses.clear();
+        for (Claim c : members.claims()) {
+            if (c.state().present()) {
+                there.put(c.name(), c.life());
+                addresses.put(c.name(), c.address());
+            }
+        }
+        agreement.present(now(), there);
+    }
+
+    @Override public void send(String name, byte[] datagram) {
+        String address = addresses.get(name);
+        if (address == null) {
+            throw new UncheckedIOException(new IOException(name + " is not there"));
+        }
+        members.send(address, datagram);
+    }
+
+    @Override public void timer(String token, long delay) {
+        loop.schedule(() -> agreement.due(now(), token), delay, TimeUnit.MICROSECONDS);
+    }
+
+    @Override public long wall() {
+        return TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
+    }
+
+    @Override public void note(Note note) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("epoch", note.view().epoch());
+        fields.put("view", note.view().number());
+        fields.put("members", note.view().lives().size());
+        fields.put("why", note.why());
+        LOG.log(note.kind() == Note.Kind.CUT_OFF || note.kind() == Note.Kind.FOUNDED
+                ? System.Logger.Level.WARNING : System.Logger.Level.INFO,
+                "agreement " + note.kind() + ": " + note.why(), fields);
+    }
+
+    @Override public void point(Point point) {
+        points.accept(point);
+    }
+}
--- a/src/main/java/yewyoke/fleet/carrier/MemberCarrier.java
+++ b/src/main/java/yewyoke/fleet/carrier/MemberCarrier.java
@@ -17,10 +17,12 @@
 import java.net.UnknownHostException;
 import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import yewyoke.fleet.agree.Agreement;
 import yewyoke.fleet.member.Claim;
 import yewyoke.fleet.member.Event;
 import yewyoke.fleet.member.Membership;
@@ -41,6 +43,8 @@
     private final Membership membership;
     private final long origin = System.nanoTime();
     private Channel channel;
+    /** What is built upon the picture; null if nothing is. */
+    private AgreeCarrier guest;
     private long tenth;
     private int read;
     private long dropped;
@@ -88,7 +92,28 @@
         });
     }
 
-    private long now() {
+    /** The event loop that all of it lives on. */
+    EventLoop loop() {
+        return loop;
+    }
+
+    /** Has an agreement hear its datagrams and the changes of the picture; on the event loop. */
+    void host(AgreeCarrier agreement) {
+        guest = agreement;
+    }
+
+    /** What this process says of itself. */
+    Claim self() {
+        return membership.self();
+    }
+
+    /** What is held of all members; on the event loop. */
+    Collection<Claim> claims() {
+        return membership.members();
+    }
+
+    /** Microseconds by a clock that never steps. */
+    long now() {
         return (System.nanoTime() - origin) / 1_000;
     }
 
@@ -117,6 +142,9 @@
     }
 
     @Override public void event(Event event) {
+        if (guest != null) {
+            guest.changed();
+        }
         Claim c = event.claim();
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("member", c.name());
@@ -140,8 +168,12 @@
                 dropped++;
                 return;
             }
-            membership.received(now(), NetUtil.toSocketAddressString(packet.sender()),
-                    ByteBufUtil.getBytes(packet.content()));
+            byte[] datagram = ByteBufUtil.getBytes(packet.content());
+            if (guest != null && Agreement.isOurs(datagram)) {
+                guest.received(datagram);
+            } else {
+                membership.received(now(), NetUtil.toSocketAddressString(packet.sender()), datagram);
+            }
         }
 
         /** Whoever sends to a process that is down may be told so; that is no news here. */
--- /dev/null
+++ b/src/main/java/yewyoke/fleet/carrier/PointFault.java
@@ -0,0 +1,72 @@
+package yewyoke.fleet.carrier;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.FileAlreadyExistsException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import yewyoke.fleet.agree.Point;
+
+/**
+ * A fault at a point, in a process of the lab: {@code POINT:pass:CRASH:file} ends the process there as a kill
+ * would, {@code POINT:pass:STAND:file} has its event loop stand still. All processes of a fleet are told the
+ * same; the first one that comes there makes the file, and the fault is its own.
+ */
+public final class PointFault implements Consumer<Point> {
+    /** The property that only the lab sets. */
+    public static final String PROPERTY = "yewyoke.lab.fault";
+    /** Longer than any timer of membership or agreement. */
+    private static final long STAND_MS = 12_000;
+    private static final int KILLED = 137;
+    private static final int PARTS = 4;
+
+    private enum Kind { CRASH, STAND }
+
+    private final Point point;
+    private final Kind kind;
+    private final Path file;
+    private int left;
+
+    private PointFault(Point point, int pass, Kind kind, Path file) {
+        this.point = point;
+        this.left = pass;
+        this.kind = kind;
+        this.file = file;
+    }
+
+    /** Reads the property; without one nothing ever happens. */
+    public static Consumer<Point> of(String property) {
+        if (property == null) {
+            return p -> { };
+        }
+        String[] parts = property.split(":", PARTS);
+        if (parts.length < PARTS) {
+            throw new IllegalArgumentException(PROPERTY + " is not POINT:pass:KIND:file: " + property);
+        }
+        return new PointFault(Point.valueOf(parts[0]), Integer.parseInt(parts[1]), Kind.valueOf(parts[2]),
+                Path.of(parts[3]));
+    }
+
+    @Override public void accept(Point passed) {
+        if (passed != point || left == 0 || --left > 0) {
+            return;
+        }
+        try {
+            Files.writeString(file, Long.toString(ProcessHandle.current().pid()),
+                    java.nio.file.StandardOpenOption.CREATE_NEW);
+        } catch (FileAlreadyExistsException e) {
+            return; // another process was first
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        if (kind == Kind.CRASH) {
+            Runtime.getRuntime().halt(KILLED);
+        }
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STAND_MS);
+        for (long rest = until - System.nanoTime(); rest > 0; rest = until - System.nanoTime()) {
+            java.util.concurrent.locks.LockSupport.parkNanos(rest);
+        }
+    }
+}
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -25,7 +25,7 @@
         "yewyoke.adapter,yewyoke yewyoke.settings com.fasterxml.jackson.core..", "yewyoke.lab.fault,",
         "yewyoke.fleet.member,com.fasterxml.jackson.core..",
         "yewyoke.fleet.agree,com.fasterxml.jackson.core..",
-        "yewyoke.fleet.carrier,yewyoke.fleet.member io.netty..",
+        "yewyoke.fleet.carrier,yewyoke.fleet.member yewyoke.fleet.agree io.netty..",
         "yewyoke.lab.virtual,yewyoke.lab.fault", "yewyoke.lab.check,",
         "yewyoke.lab.relay,yewyoke.lab.fault io.netty..",
         "yewyoke.lab.stand,yewyoke.lab.check io.netty.. com.fasterxml.jackson.core..",
