Take the time that a request waited unread from the time it has left

Change: the driver knows when the module's next timer is due; as much as that is overdue when a request is read is taken from its time left. Result: NodeTest.timeThatARequestWaitedUnreadIsTakenFromItsTime fails without it (8,999 ms told after 600 ms of standing still).

--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -327,7 +327,8 @@
         long left = number(headers, Driver.TIME_LEFT, requestClass.giveUp() / 1_000);
         long hint = number(headers, "X-Weight-Hint", 0);
         List<String> keys = uri.parameters().get("key");
-        return new Request(id, cls, tenant, keys == null ? null : keys.get(0), hint, left * 1_000,
+        return new Request(id, cls, tenant, keys == null ? null : keys.get(0), hint,
+                Math.max(0, left * 1_000 - driver.unread()),
                 effect != Effect.SAFE, "1".equals(headers.get("X-Repeat")));
     }
 
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balance;
 import yewyoke.Balancer;
@@ -54,6 +55,8 @@
     private final Map<String, Open> open = new HashMap<>();
     private final Deque<Runnable> events = new ArrayDeque<>();
     private final Counts counts = new Counts();
+    /** When the module's timers are due. */
+    private final PriorityQueue<Long> timersDue = new PriorityQueue<>();
     private final long epochMicros = System.currentTimeMillis() * 1_000;
     private final long origin = System.nanoTime();
     private Discovery discovery;
@@ -191,6 +194,16 @@
 
     // ---- From clients --------------------------------------------------------------------------------
 
+    /**
+     * How long a request that is read now may have waited unread, in microseconds. Its time counts from when
+     * it came, and after the process or its loop stood still that was before now: by as much as the module's
+     * timers are overdue, since those come at the end of each turn of the loop, and dozens a second.
+     */
+    long unread() {
+        Long due = timersDue.peek();
+        return due == null ? 0 : Math.max(0, now() - due);
+    }
+
     boolean isOpen(String id) {
         return open.containsKey(id);
     }
@@ -396,7 +409,11 @@
     }
 
     @Override public void timer(String token, long delay) {
-        loop.schedule(() -> event(() -> balancer.timer(now(), token)), delay, TimeUnit.MICROSECONDS);
+        timersDue.add(now() + delay);
+        loop.schedule(() -> {
+            timersDue.poll();
+            event(() -> balancer.timer(now(), token));
+        }, delay, TimeUnit.MICROSECONDS);
     }
 
     @Override public void closeIdle(String upstream) {
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -39,6 +39,7 @@
 /** The balancer between real sockets: each test is one way for it to lose, repeat or misplace a request. */
 class NodeTest {
     private static final Script SERVE = (m, s) -> Sockets.answer(s, "200 OK", "", "done");
+    private static final long STAND_MS = 600;
     private static final Script HANG = (m, s) -> { };
 
     @TempDir Path folder;
@@ -364,6 +365,32 @@
         assertEquals(0, Sockets.next(upstream.ended), "the attempt is given up");
     }
 
+    /** The loop stands still, as behind a long collection; what came meanwhile has less time left. */
+    @Test
+    void timeThatARequestWaitedUnreadIsTakenFromItsTime() throws Exception {
+        Server upstream = server(SERVE);
+        start(upstream);
+        Client client = client();
+        assertEquals(200, client.write(submit()).read().status());
+        Sockets.next(upstream.requests);
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch goesOn = new CountDownLatch(1);
+        var loop = group.next();
+        loop.execute(() -> {
+            stands.countDown();
+            for (long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STAND_MS);
+                    System.nanoTime() < end || goesOn.getCount() > 0;) {
+                Thread.onSpinWait();
+            }
+        });
+        stands.await();
+        client.write(request("POST", "submit", "9000", ""));
+        goesOn.countDown();
+        assertEquals(200, client.read().status());
+        long left = Long.parseLong(Sockets.next(upstream.requests).headers().get("x-time-left-ms"));
+        assertTrue(left < 9_000 - STAND_MS / 2, () -> "told that " + left + " ms are left");
+    }
+
     @Test
     void requestThatNoUpstreamCanTakeIsRefusedByTheDeadline() throws Exception {
         start(new Server[0]);
