Give each error that reaches an operator a type, a code and what can be done

Need: BadInput, BadFile and bare IOException and IllegalArgumentException reached operators without saying what they can do. Change: one sealed family, yewyoke.error.OperatorError, with a code that stays for each type; old code throws it at the command line, at the start, on SIGHUP, for lines of discovery and of the adapter, in the lab and when another process is asked. A balancer warns of limits that are less than it needs (memory under 48 MB, under 128 descriptors) and tries. Clients are answered as before. Reasons for dropped datagrams stay counters, not types.

--- a/src/main/java/yewyoke/SettingsCheck.java
+++ b/src/main/java/yewyoke/SettingsCheck.java
@@ -5,11 +5,11 @@
 import yewyoke.Balancer.Tenant;
 
 /** Checks settings before a module is built on them; it decides nothing. */
-final class SettingsCheck {
+public final class SettingsCheck {
     private SettingsCheck() { }
 
     /** Refuses bad settings with the name of the field. */
-    static void check(Settings s) {
+    public static void check(Settings s) {
         require(!s.classes().isEmpty(), "classes");
         require(s.zones() >= 1, "zones");
         require(s.zone() >= 0 && s.zone() < s.zones(), "zone");
--- a/src/main/java/yewyoke/adapter/Adapter.java
+++ b/src/main/java/yewyoke/adapter/Adapter.java
@@ -6,7 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import yewyoke.settings.BadInput;
+import yewyoke.error.OperatorError.BadInput;
 
 /** Command line: {@code adapter} reads batches on standard input and writes a reply for each. */
 public final class Adapter {
--- a/src/main/java/yewyoke/adapter/Batches.java
+++ b/src/main/java/yewyoke/adapter/Batches.java
@@ -21,7 +21,7 @@
 import yewyoke.Balancer.Settings;
 import yewyoke.Balancer.State;
 import yewyoke.Balancer.Upstream;
-import yewyoke.settings.BadInput;
+import yewyoke.error.OperatorError.BadInput;
 import yewyoke.settings.SettingsReader;
 
 /** Reads one batch at a time and hands its events to the instances. */
--- a/src/main/java/yewyoke/adapter/Desk.java
+++ b/src/main/java/yewyoke/adapter/Desk.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import yewyoke.Balancer;
 import yewyoke.Balance;
-import yewyoke.settings.BadInput;
+import yewyoke.error.OperatorError.BadInput;
 
 /** Keeps one module for each instance and hands it its events; they share nothing. */
 final class Desk {
--- a/src/main/java/yewyoke/command/FleetCommand.java
+++ b/src/main/java/yewyoke/command/FleetCommand.java
@@ -18,6 +18,11 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.BadOption;
+import yewyoke.error.OperatorError.NobodyAnswers;
+import yewyoke.error.OperatorError.PartOff;
+import yewyoke.error.OperatorError.PeerBusy;
 
 /** Asks any process of a fleet what it holds. */
 @Command(name = "fleet", description = "Asks a process what it holds of its fleet.",
@@ -40,8 +45,7 @@
         private CommandSpec spec;
 
         @Override public Integer call() throws Exception {
-            String text = get("/members").orElseThrow(() -> new IOException(
-                    at + ": no peers are configured"));
+            String text = get("/members").orElseThrow(() -> new PartOff(at, "[fleet]"));
             PrintWriter out = spec.commandLine().getOut();
             if (json) {
                 out.println(text);
@@ -87,7 +91,7 @@
         }
 
         /** What the process answers; nothing where it has no such part. */
-        private Optional<String> get(String part) throws IOException, InterruptedException {
+        private Optional<String> get(String part) throws OperatorError, InterruptedException {
             String uri = "http://" + at + part;
             try {
                 HttpResponse<String> answer = HttpClient.newHttpClient().send(HttpRequest
@@ -96,12 +100,12 @@
                 return switch (answer.statusCode()) {
                     case 200 -> Optional.of(answer.body());
                     case 404 -> Optional.empty();
-                    default -> throw new IOException(uri + ": " + answer.body().trim());
+                    default -> throw new PeerBusy(at, answer.body().trim());
                 };
             } catch (IllegalArgumentException e) {
-                throw new IOException("--at: not an address and port: " + uri, e);
+                throw new BadOption("--at", at + " is not an address and port as 127.0.0.1:9464");
             } catch (IOException e) {
-                throw e.getMessage() == null ? new IOException(uri + ": nobody answers there", e) : e;
+                throw new NobodyAnswers(at, e);
             }
         }
     }
--- a/src/main/java/yewyoke/command/Main.java
+++ b/src/main/java/yewyoke/command/Main.java
@@ -1,6 +1,7 @@
 package yewyoke.command;
 
 import java.net.InetSocketAddress;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -16,7 +17,10 @@
 import yewyoke.fleet.carrier.PointFault;
 import yewyoke.fleet.member.Meta;
 import yewyoke.fleet.member.Settings;
-import yewyoke.toml.BadFile;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.BadFile;
+import yewyoke.error.OperatorError.NoFile;
+import yewyoke.error.OperatorError.Unexpected;
 
 /**
  * The program's command line, with all that it can do. {@code java -jar yewyoke.jar serve} goes past it: the
@@ -47,8 +51,11 @@
     static CommandLine line() {
         return new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true)
                 .setExecutionExceptionHandler((e, cmd, parsed) -> {
-                    cmd.getErr().println(cmd.getCommandSpec().qualifiedName() + ": "
-                            + (e.getMessage() == null ? e : e.getMessage()));
+                    OperatorError known = e instanceof OperatorError o ? o
+                            : e instanceof NoSuchFileException f
+                            ? new NoFile(Path.of(f.getFile()), "there is no such file or folder")
+                            : new Unexpected(e);
+                    cmd.getErr().println(cmd.getCommandSpec().qualifiedName() + ": " + known.getMessage());
                     return 2;
                 });
     }
--- a/src/main/java/yewyoke/command/Own.java
+++ b/src/main/java/yewyoke/command/Own.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import io.netty.util.NetUtil;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -12,7 +11,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import yewyoke.fleet.agree.AgreeSettings;
-import yewyoke.toml.BadFile;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.BadFile;
 import yewyoke.toml.TomlFile;
 
 /**
@@ -57,7 +57,7 @@
             String zone, List<String> council) { }
 
     /** Reads and checks a file and fills in the defaults. */
-    static Own read(Path file) throws IOException, BadFile {
+    static Own read(Path file) throws OperatorError {
         Own read = TomlFile.read(file, Own.class);
         LogPart usual = DEFAULTS.log();
         LogPart log = read == null || read.log() == null ? usual : read.log();
--- a/src/main/java/yewyoke/lab/Main.java
+++ b/src/main/java/yewyoke/lab/Main.java
@@ -12,6 +12,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import yewyoke.error.OperatorError.BadOption;
 import yewyoke.lab.experiment.Build;
 import yewyoke.lab.experiment.Experiment;
 import yewyoke.lab.experiment.Play;
@@ -43,7 +44,7 @@
             Experiment read = Experiment.read(file);
             int count = plays == null ? read.plays() : plays;
             if (count < 1) {
-                throw new IllegalArgumentException("--plays: " + count + " is less than 1");
+                throw new BadOption("--plays", count + " is less than 1");
             }
             long first = seed == null ? read.seed() : seed;
             return LongStream.range(first, first + count).mapToObj(read::withSeed).toList();
--- a/src/main/java/yewyoke/lab/experiment/Build.java
+++ b/src/main/java/yewyoke/lab/experiment/Build.java
@@ -1,25 +1,37 @@
 package yewyoke.lab.experiment;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.BadFile;
+import yewyoke.error.OperatorError.NoBuild;
 
 /** A build of the program: its folder, and the command that starts one balancer there. */
 public record Build(Path home, List<String> command) {
 
     /** The build in a folder, started as the platform would: by {@code run} of its deploy file. */
-    public static Build in(Path home) throws IOException {
+    public static Build in(Path home) throws OperatorError {
         Path deploy = home.resolve("deploy/balancer.toml");
-        JsonNode run = new TomlMapper().readTree(Files.readString(deploy)).path("run");
+        JsonNode run;
+        try {
+            run = new TomlMapper().readTree(Files.readString(deploy)).path("run");
+        } catch (JsonProcessingException e) {
+            throw new BadFile(deploy, e.getLocation() == null ? 0 : e.getLocation().getLineNr(), "",
+                    e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new NoBuild(deploy, "is missing or can't be read");
+        }
         if (!run.isTextual()) {
-            throw new IOException(deploy + ": run: is missing");
+            throw new BadFile(deploy, 0, "run", "is missing");
         }
         Path jar = home.resolve("target/yewyoke.jar");
         if (!Files.exists(jar)) {
-            throw new IOException(jar + " is missing: build it first");
+            throw new NoBuild(jar, "is missing");
         }
         return new Build(home.toAbsolutePath(), List.of("/bin/sh", "-c", run.asText()));
     }
--- a/src/main/java/yewyoke/lab/experiment/Experiment.java
+++ b/src/main/java/yewyoke/lab/experiment/Experiment.java
@@ -1,14 +1,14 @@
 package yewyoke.lab.experiment;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
-import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import yewyoke.lab.check.Checker.Repeat;
 import yewyoke.lab.check.Rules;
 import yewyoke.lab.stand.RequestClass;
 import yewyoke.lab.stand.UpstreamKind;
-import yewyoke.toml.BadFile;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.BadFile;
 import yewyoke.toml.TomlFile;
 
 /** An experiment as its TOML file has it; what the file leaves out has the value that stands here. */
@@ -55,7 +55,7 @@
             @JsonProperty("lateness-p99-ms") Double latenessP99Ms) { }
 
     /** Reads and checks a file; a key that is not known here is refused. */
-    public static Experiment read(Path file) throws IOException, BadFile {
+    public static Experiment read(Path file) throws OperatorError {
         Experiment read = TomlFile.read(file, Experiment.class);
         read.check(file);
         return read;
--- a/src/main/java/yewyoke/lab/experiment/Play.java
+++ b/src/main/java/yewyoke/lab/experiment/Play.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.function.Consumer;
+import yewyoke.error.OperatorError;
 import yewyoke.lab.fault.LinkFault;
 import yewyoke.lab.fault.Plan;
 import yewyoke.lab.play.Fleet;
@@ -26,7 +27,7 @@
      * second how far the play has come.
      */
     public static Verdict run(Experiment experiment, Build build, Path folder,
-            Consumer<Fleet.Progress> listener) throws IOException, InterruptedException {
+            Consumer<Fleet.Progress> listener) throws IOException, OperatorError, InterruptedException {
         Files.createDirectories(folder);
         Plan plan = Timeline.plan(experiment);
         var t = experiment.traffic();
--- a/src/main/java/yewyoke/lab/play/Fleet.java
+++ b/src/main/java/yewyoke/lab/play/Fleet.java
@@ -21,6 +21,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.EndedAtStart;
 import yewyoke.lab.check.Checker;
 import yewyoke.lab.check.Rules;
 import yewyoke.lab.check.Violation;
@@ -104,7 +106,7 @@
     }
 
     /** Sets all up, and starts the processes. */
-    public Fleet(Layout layout) throws IOException, InterruptedException {
+    public Fleet(Layout layout) throws IOException, OperatorError, InterruptedException {
         this.layout = layout;
         this.checker = new Checker(layout.rules());
         this.relay = new Relay(layout.seed(), layout.links());
@@ -136,7 +138,7 @@
             }
         }
         if (!up) {
-            throw new IOException("a balancer has ended at its start; its log is in " + layout.folder());
+            throw new EndedAtStart(layout.folder());
         }
     }
 
--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -38,7 +38,7 @@
 import yewyoke.Balancer.Effect;
 import yewyoke.Balancer.Request;
 import yewyoke.Balancer.RequestClass;
-import yewyoke.settings.BadInput;
+import yewyoke.error.OperatorError.BadInput;
 import yewyoke.settings.SettingsReader;
 
 /** The side towards clients: takes requests in, and gives each its one answer. */
@@ -241,7 +241,10 @@
                     return;
                 }
                 request = request(message, uri);
-            } catch (BadInput | IllegalArgumentException e) {
+            } catch (BadInput e) {
+                reject(message, e.what());
+                return;
+            } catch (IllegalArgumentException e) {
                 reject(message, e.getMessage());
                 return;
             }
--- a/src/main/java/yewyoke/node/Config.java
+++ b/src/main/java/yewyoke/node/Config.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import io.netty.util.NetUtil;
 import java.io.IOException;
@@ -9,18 +10,36 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import yewyoke.settings.BadInput;
+import yewyoke.SettingsCheck;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.BadConfiguration;
+import yewyoke.error.OperatorError.BadInput;
+import yewyoke.error.OperatorError.NoFile;
 import yewyoke.settings.SettingsReader;
 
 /** What this balancer is told at its start: addresses, limits, the list as last held, and the settings. */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, int memoryMb,
         ServerList known, SettingsReader.Found facts) {
     static final JsonFactory JSON = new JsonFactory();
     private static final int DEFAULT_SOCKETS = 1024;
+    private static final int DEFAULT_MEMORY_MB = 192;
 
-    static Config read(Path file) throws BadInput, IOException {
-        try (JsonParser json = JSON.createParser(Files.readAllBytes(file))) {
+    static Config read(Path file) throws OperatorError {
+        byte[] text;
+        try {
+            text = Files.readAllBytes(file);
+        } catch (IOException e) {
+            throw new NoFile(file, "can't be read: " + e);
+        }
+        try (JsonParser json = JSON.createParser(text)) {
             return read(json);
+        } catch (BadInput e) {
+            throw new BadConfiguration(file, e.what());
+        } catch (JsonProcessingException e) {
+            throw new BadConfiguration(file, "line " + e.getLocation().getLineNr() + ": "
+                    + e.getOriginalMessage().lines().findFirst().orElse(""));
+        } catch (IOException | IllegalArgumentException e) {
+            throw new BadConfiguration(file, String.valueOf(e.getMessage()));
         }
     }
 
@@ -28,7 +47,7 @@
         InetSocketAddress listen = null;
         InetSocketAddress discovery = null;
         long seed = 0;
-        int sockets = DEFAULT_SOCKETS;
+        int[] limits = {DEFAULT_SOCKETS, DEFAULT_MEMORY_MB};
         ServerList known = ServerList.EMPTY;
         SettingsReader.Found facts = null;
         if (json.nextToken() != JsonToken.START_OBJECT) {
@@ -41,7 +60,7 @@
                 case "listen" -> listen = address(json.getText());
                 case "discovery" -> discovery = address(json.getText());
                 case "seed" -> seed = seed(json.getText());
-                case "limits" -> sockets = sockets(json, sockets);
+                case "limits" -> limits(json, limits);
                 case "known" -> known = value == JsonToken.START_OBJECT ? ServerList.read(json) : known;
                 case "settings" -> facts = value == JsonToken.START_OBJECT ? SettingsReader.read(json) : null;
                 default -> json.skipChildren();
@@ -50,20 +69,22 @@
         ServerList.require(listen != null, "listen");
         ServerList.require(discovery != null, "discovery");
         ServerList.require(facts != null, "settings");
-        return new Config(listen, discovery, seed, sockets, known, facts);
+        SettingsCheck.check(facts.settings());
+        return new Config(listen, discovery, seed, limits[0], limits[1], known, facts);
     }
 
-    private static int sockets(JsonParser json, int otherwise) throws IOException {
-        int sockets = otherwise;
+    /** Reads descriptors and megabytes, as far as they are told. */
+    private static void limits(JsonParser json, int[] into) throws IOException {
         while (json.nextToken() == JsonToken.FIELD_NAME) {
-            boolean wanted = json.currentName().equals("sockets");
+            String name = json.currentName();
             JsonToken value = json.nextToken();
-            if (wanted && value.isNumeric()) {
-                sockets = json.getIntValue();
+            if (value.isNumeric() && name.equals("sockets")) {
+                into[0] = json.getIntValue();
+            } else if (value.isNumeric() && name.equals("memory_mb")) {
+                into[1] = json.getIntValue();
             }
             json.skipChildren();
         }
-        return sockets;
     }
 
     private static long seed(String hex) throws BadInput {
--- a/src/main/java/yewyoke/node/Discovery.java
+++ b/src/main/java/yewyoke/node/Discovery.java
@@ -31,7 +31,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer.ListKind;
-import yewyoke.settings.BadInput;
+import yewyoke.error.OperatorError.BadInput;
+import yewyoke.error.OperatorError.BadList;
 
 /** Follows the list of upstreams: one watch, kept open from the version known, and single lists if asked. */
 final class Discovery {
@@ -179,7 +180,10 @@
                     throw new BadInput("not a JSON object");
                 }
                 list = ServerList.read(json);
-            } catch (IOException | BadInput e) {
+            } catch (BadInput e) {
+                broken(e.what());
+                return;
+            } catch (IOException e) {
                 broken(e.getMessage());
                 return;
             }
@@ -191,7 +195,7 @@
         private void broken(String why) {
             if (!badLineLogged) {
                 badLineLogged = true;
-                LOG.log(System.Logger.Level.WARNING, "ignored a broken line of discovery: " + why);
+                LOG.log(System.Logger.Level.WARNING, new BadList(address, why).getMessage());
             }
         }
 
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -1,24 +1,32 @@
 package yewyoke.node;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import yewyoke.adapter.Adapter;
-import yewyoke.settings.BadInput;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.AddressTaken;
+import yewyoke.error.OperatorError.LimitsTooSmall;
+import yewyoke.error.OperatorError.NotTold;
+import yewyoke.error.OperatorError.Unexpected;
 
 /** Command line: {@code serve} runs one balancer on sockets, {@code adapter} the module on the simulator. */
 public final class Main {
     private static final System.Logger LOG = System.getLogger(Main.class.getName());
     /** Descriptors that the JVM itself needs: jars, selector, log. */
     private static final int OWN_DESCRIPTORS = 64;
+    /** Less leaves next to nothing for clients and upstreams. */
+    private static final int LEAST_DESCRIPTORS = 2 * OWN_DESCRIPTORS;
+    /** What a balancer holds once it serves: the JVM with its classes, compiled code and a small heap. */
+    private static final int LEAST_MEMORY_MB = 48;
     /** Of the rest clients get this part at most; upstreams have the others. */
     private static final double CLIENT_PART = 0.75;
 
@@ -74,10 +82,11 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             if (config == null) {
-                throw new IllegalArgumentException("NODE_CONFIG is not set");
+                throw new NotTold("NODE_CONFIG");
             }
             Path file = Path.of(config);
             Config found = Config.read(file);
+            warn(file, found);
             ClientServer server = follow(found, group.next(), Transport.TCP);
             if (!rehearse) {
                 HangUp.handle(() -> reload(file, server));
@@ -87,11 +96,11 @@
             }
             boolean few = found.facts().settings().groupSize() <= FEW;
             if (few) {
-                server.bind(Transport.TCP, found.listen()).sync();
+                listen(server, found);
             }
             int served = Rehearsal.run(found);
             if (!few) {
-                server.bind(Transport.TCP, found.listen()).sync();
+                listen(server, found);
             }
             server.open();
             serving.accept(new Running(group.next(), server::status));
@@ -101,12 +110,39 @@
             }
             return 0;
         } catch (Exception e) {
-            err.println("can't serve: " + e.toString().lines().findFirst().orElse(""));
+            err.println("can't serve: " + known(e).getMessage());
             group.shutdownGracefully();
             return 1;
         }
     }
 
+    private static void listen(ClientServer server, Config config)
+            throws AddressTaken, InterruptedException {
+        ChannelFuture bound = server.bind(Transport.TCP, config.listen()).await();
+        if (!bound.isSuccess()) {
+            throw new AddressTaken(config.listen(), String.valueOf(bound.cause()));
+        }
+    }
+
+    /** It may still do, so it tries; whoever looks for the cause of what follows finds it in the log. */
+    private static void warn(Path file, Config config) {
+        if (config.memoryMb() < LEAST_MEMORY_MB) {
+            warn(new LimitsTooSmall(file, "limits.memory_mb", config.memoryMb(), LEAST_MEMORY_MB));
+        }
+        if (config.sockets() < LEAST_DESCRIPTORS) {
+            warn(new LimitsTooSmall(file, "limits.sockets", config.sockets(), LEAST_DESCRIPTORS));
+        }
+    }
+
+    private static void warn(OperatorError error) {
+        LOG.log(System.Logger.Level.WARNING, error.getMessage());
+    }
+
+    /** What keeps a balancer from its start, as an operator is told it. */
+    private static OperatorError known(Exception e) {
+        return e instanceof OperatorError o ? o : new Unexpected(e);
+    }
+
     /** When a planned stop takes nothing new any more, and when it answers all that is left, in ms. */
     record Stop(long keepAccepting, long lastAnswer) {
         /**
@@ -132,7 +168,7 @@
         try {
             server.reload(Config.read(file));
             LOG.log(System.Logger.Level.INFO, "read the configuration again");
-        } catch (IOException | BadInput e) {
+        } catch (OperatorError e) {
             LOG.log(System.Logger.Level.ERROR, "went on with the old configuration", e);
         }
     }
--- a/src/main/java/yewyoke/node/ServerList.java
+++ b/src/main/java/yewyoke/node/ServerList.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import yewyoke.Balancer.State;
 import yewyoke.Balancer.Upstream;
-import yewyoke.settings.BadInput;
+import yewyoke.error.OperatorError.BadInput;
 import yewyoke.settings.SettingsReader;
 
 /** A list of upstreams, or changes of it, in discovery's form. */
--- a/src/main/java/yewyoke/settings/SettingsReader.java
+++ b/src/main/java/yewyoke/settings/SettingsReader.java
@@ -17,6 +17,7 @@
 import yewyoke.Balancer.Scope;
 import yewyoke.Balancer.Settings;
 import yewyoke.Balancer.Tenant;
+import yewyoke.error.OperatorError.BadInput;
 
 /** Reads the settings that an instance is created with. Keys it does not know are skipped. */
 public final class SettingsReader {
--- a/src/main/java/yewyoke/toml/TomlFile.java
+++ b/src/main/java/yewyoke/toml/TomlFile.java
@@ -14,6 +14,9 @@
 import java.util.List;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.BadFile;
+import yewyoke.error.OperatorError.NoFile;
 
 /** Reads TOML into records and refuses what it does not know: a mistyped key must not pass for a default. */
 public final class TomlFile {
@@ -27,14 +30,16 @@
     private TomlFile() { }
 
     /** Reads a whole file as one record. */
-    public static <T> T read(Path file, Class<T> type) throws IOException, BadFile {
+    public static <T> T read(Path file, Class<T> type) throws OperatorError {
         String text;
         try {
             text = Files.readString(file);
         } catch (NoSuchFileException e) {
-            throw new BadFile(file, 0, "", "there is no such file");
+            throw new NoFile(file, "there is no such file");
         } catch (MalformedInputException e) {
-            throw new BadFile(file, 0, "", "is not UTF-8");
+            throw new NoFile(file, "is not UTF-8");
+        } catch (IOException e) {
+            throw new NoFile(file, "can't be read: " + e);
         }
         try {
             return TOML.readValue(text, type);
--- /dev/null
+++ b/src/test/java/yewyoke/LogLines.java
@@ -0,0 +1,40 @@
+package yewyoke;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** The lines that a class logs meanwhile. */
+public final class LogLines extends Handler implements AutoCloseable {
+    private static final int PATIENCE_S = 20;
+    private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+    private final Logger logger;
+
+    /** Those of a class, from now on. */
+    public LogLines(Class<?> of) {
+        logger = Logger.getLogger(of.getName());
+        logger.addHandler(this);
+    }
+
+    /** Waits for the next line. */
+    public String next() throws InterruptedException {
+        String line = lines.poll(PATIENCE_S, TimeUnit.SECONDS);
+        if (line == null) {
+            throw new AssertionError("nothing was logged");
+        }
+        return line;
+    }
+
+    @Override public void publish(LogRecord line) {
+        lines.add(line.getMessage());
+    }
+
+    @Override public void flush() { }
+
+    @Override public void close() {
+        logger.removeHandler(this);
+    }
+}
--- a/src/test/java/yewyoke/lab/experiment/ExperimentTest.java
+++ b/src/test/java/yewyoke/lab/experiment/ExperimentTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import yewyoke.lab.fault.Fault;
 import yewyoke.lab.fault.Plan;
-import yewyoke.toml.BadFile;
+import yewyoke.error.OperatorError.BadFile;
 
 /** Experiment files: what is wrong in one is named with file, line and key; groups become their members. */
 class ExperimentTest {
@@ -65,8 +65,8 @@
     void whatIsWrongIsNamedWithFileLineAndKey(String good, String bad, String complaint) throws Exception {
         Path file = file(GOOD.replace(good, bad));
         var e = assertThrows(BadFile.class, () -> Experiment.read(file));
-        assertTrue(e.getMessage().startsWith(file.toString()), e.getMessage());
-        assertTrue(e.getMessage().contains(complaint), e.getMessage());
+        assertTrue(e.what().startsWith(file.toString()), e.what());
+        assertTrue(e.what().contains(complaint), e.what());
     }
 
     @Test
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -31,6 +31,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import yewyoke.LogLines;
+import yewyoke.error.OperatorError.BadList;
 import yewyoke.node.Sockets.Client;
 import yewyoke.node.Sockets.Message;
 import yewyoke.node.Sockets.Script;
@@ -526,9 +528,14 @@
             Sockets.chunk(s, list(42, false, entry("s-" + old.addr(), old.addr(), "Terminating"),
                     entry("new", other.addr(), "Ready")));
         });
-        start(ready(old), discovery);
-        assertTrue(Sockets.next(discovery.requests).start().contains("since=41"));
-        awaitServedBy(other);
+        try (LogLines lines = new LogLines(Discovery.class)) {
+            start(ready(old), discovery);
+            assertTrue(Sockets.next(discovery.requests).start().contains("since=41"));
+            awaitServedBy(other);
+            String said = lines.next();
+            assertTrue(said.startsWith(BadList.CODE) && said.contains(discovery.addr())
+                    && said.contains(BadList.REMEDY), said);
+        }
         int before = old.requests.size();
         for (int i = 0; i < 5; i++) {
             assertEquals(200, client().write(submit()).read().status());
