Fail real processes at the numbered points of agreement, by a property of the lab

Need: points of fault were failed in virtual time alone. Change: -Dyewyoke.lab.fault=POINT:pass:KIND:who:file has the first of a fleet's processes that comes to a point crash there or stand still for 12 s; all others find the file and go on.

--- a/src/main/java/yewyoke/fleet/carrier/PointFault.java
+++ b/src/main/java/yewyoke/fleet/carrier/PointFault.java
@@ -5,14 +5,17 @@
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import yewyoke.fleet.agree.Point;
 
 /**
- * A fault at a point, in a process of the lab: {@code POINT:pass:CRASH:file} ends the process there as a kill
- * would, {@code POINT:pass:STAND:file} has its event loop stand still. All processes of a fleet are told the
- * same; the first one that comes there makes the file, and the fault is its own.
+ * A fault at a point, in a process of the lab: {@code POINT:pass:CRASH:who:file} ends the process there as a
+ * kill would, {@code POINT:pass:STAND:who:file} has its event loop stand still. All processes of a fleet are
+ * told the same but for who they are; the first one that comes there makes the file, which names it, and the
+ * fault is its own.
  */
 public final class PointFault implements Consumer<Point> {
     /** The property that only the lab sets. */
@@ -20,19 +23,21 @@
     /** Longer than any timer of membership or agreement. */
     private static final long STAND_MS = 12_000;
     private static final int KILLED = 137;
-    private static final int PARTS = 4;
+    private static final int PARTS = 5;
 
     private enum Kind { CRASH, STAND }
 
     private final Point point;
     private final Kind kind;
+    private final String who;
     private final Path file;
     private int left;
 
-    private PointFault(Point point, int pass, Kind kind, Path file) {
+    private PointFault(Point point, int pass, Kind kind, String who, Path file) {
         this.point = point;
         this.left = pass;
         this.kind = kind;
+        this.who = who;
         this.file = file;
     }
 
@@ -43,10 +48,10 @@
         }
         String[] parts = property.split(":", PARTS);
         if (parts.length < PARTS) {
-            throw new IllegalArgumentException(PROPERTY + " is not POINT:pass:KIND:file: " + property);
+            throw new IllegalArgumentException(PROPERTY + " is not POINT:pass:KIND:who:file: " + property);
         }
         return new PointFault(Point.valueOf(parts[0]), Integer.parseInt(parts[1]), Kind.valueOf(parts[2]),
-                Path.of(parts[3]));
+                parts[3], Path.of(parts[4]));
     }
 
     @Override public void accept(Point passed) {
@@ -54,8 +59,7 @@
             return;
         }
         try {
-            Files.writeString(file, Long.toString(ProcessHandle.current().pid()),
-                    java.nio.file.StandardOpenOption.CREATE_NEW);
+            Files.writeString(file, who, StandardOpenOption.CREATE_NEW);
         } catch (FileAlreadyExistsException e) {
             return; // another process was first
         } catch (IOException e) {
@@ -66,7 +70,7 @@
         }
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STAND_MS);
         for (long rest = until - System.nanoTime(); rest > 0; rest = until - System.nanoTime()) {
-            java.util.concurrent.locks.LockSupport.parkNanos(rest);
+            LockSupport.parkNanos(rest);
         }
     }
 }
--- a/src/test/java/yewyoke/command/Processes.java
+++ b/src/test/java/yewyoke/command/Processes.java
@@ -150,6 +150,19 @@
         }
     }
 
+    /** Waits until some processes hold the same at a place of a part. */
+    void awaitOne(List<String> observers, String part, String place) throws Exception {
+        long until = System.nanoTime() + PATIENCE.toNanos();
+        TreeSet<String> held = new TreeSet<>();
+        do {
+            assertTrue(System.nanoTime() < until, () -> place + " differs: " + held);
+            held.clear();
+            for (String observer : observers) {
+                held.add(look(observer, part).at(place).toString());
+            }
+        } while (held.size() > 1);
+    }
+
     static JsonNode claim(JsonNode look, String name) {
         for (JsonNode held : look.path("members")) {
             if (held.at("/claim/name").asText().equals(name)) {
