Draw pairs of faults at the numbered points of agreement

Need: each point was failed once in a play; two faults in a row were not looked for. Change: a play may have several armed points, each counted from the one before; 20 drawn pairs belong to mvn verify, any number to the long tests (-Dfirst, -Dplays).

--- a/src/test/java/yewyoke/fleet/agree/AgreementTest.java
+++ b/src/test/java/yewyoke/fleet/agree/AgreementTest.java
@@ -15,11 +15,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import yewyoke.lab.fault.Fault;
 import yewyoke.lab.fault.Plan;
 import yewyoke.lab.virtual.Explorer;
@@ -96,9 +99,9 @@
     // ---- Each point of fault in turn -------------------------------------------------------------------
 
     /** All that an agreement does: a leader dies and comes back, a member stands still for long, one goes. */
-    private static VirtualAgreement busy(VirtualAgreement.At at) {
+    private static VirtualAgreement busy(VirtualAgreement.At... ats) {
         VirtualAgreement fleet = new VirtualAgreement(1, SHORT).with(6);
-        fleet.arm(at);
+        fleet.arm(ats);
         fleet.run(9 * SECOND);
         String leader = fleet.living().stream().filter(n -> fleet.nodes.get(n).agreement.leads()).findFirst()
                 .orElse("m0");
@@ -113,7 +116,7 @@
 
     @Test
     void aBusyFleetPassesEachPoint() {
-        VirtualAgreement fleet = busy(null);
+        VirtualAgreement fleet = busy();
         assertEquals(Optional.empty(), end(fleet));
         Map<Point, Integer> never = new EnumMap<>(Point.class);
         for (Point p : Point.values()) {
@@ -136,7 +139,7 @@
     @ParameterizedTest
     @EnumSource(Point.class)
     void aFaultAtTheLastPassOfAnyPointBreaksNothing(Point point) {
-        failAt(point, busy(null).passes.get(point));
+        failAt(point, busy().passes.get(point));
     }
 
     private static void failAt(Point point, int pass) {
@@ -144,10 +147,42 @@
             VirtualAgreement.At at = new VirtualAgreement.At(point, pass, kind);
             VirtualAgreement fleet = busy(at);
             assertEquals(Optional.empty(), end(fleet), at::toString);
-            assertTrue(fleet.sprung, at::toString);
+            assertEquals(1, fleet.sprung, at::toString);
         }
     }
 
+    /** Two faults, one after the other, at points and passes that are drawn. */
+    private static Optional<String> pair(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        VirtualAgreement.At[] ats = new VirtualAgreement.At[2];
+        for (int i = 0; i < ats.length; i++) {
+            ats[i] = new VirtualAgreement.At(Point.values()[random.nextInt(Point.values().length)],
+                    1 + (int) Math.pow(40, random.nextDouble()),
+                    VirtualAgreement.Kind.values()[random.nextInt(VirtualAgreement.Kind.values().length)]);
+        }
+        VirtualAgreement fleet = busy(ats);
+        return end(fleet).map(wrong -> "seed " + seed + ", " + Arrays.toString(ats) + ", "
+                + fleet.sprung + " came: " + wrong);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 101})
+    void pairsOfFaultsAtDrawnPointsBreakNothing(long first) {
+        assertEquals(Optional.empty(), LongStream.range(first, first + 10)
+                .mapToObj(AgreementTest::pair).flatMap(Optional::stream).findFirst());
+    }
+
+    @Tag("long")
+    @Test
+    void thousandsOfPairsOfFaults() {
+        long first = Long.getLong("first", 1_000);
+        int plays = Integer.getInteger("plays", 20_000);
+        Optional<String> found = LongStream.range(first, first + plays).parallel()
+                .mapToObj(AgreementTest::pair).flatMap(Optional::stream).findAny();
+        System.out.println("agreement pairs of faults | " + plays + " | " + found.orElse("held") + " |");
+        assertEquals(Optional.empty(), found);
+    }
+
     @Test
     void theListOfPointsIsTheOneInTheDocuments() throws Exception {
         List<String> listed = Files.readString(Path.of("docs", "faults.md")).lines()
--- a/src/test/java/yewyoke/fleet/agree/VirtualAgreement.java
+++ b/src/test/java/yewyoke/fleet/agree/VirtualAgreement.java
@@ -6,7 +6,10 @@
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -49,8 +52,8 @@
     private View newest = View.NONE;
     /** What is left of a message on its way: a mutant of the protocol, for those who look if it is seen. */
     UnaryOperator<Message> says = UnaryOperator.identity();
-    private At armed;
-    boolean sprung;
+    private final Deque<At> armed = new ArrayDeque<>();
+    int sprung;
 
     /** What goes wrong at a point. */
     enum Kind { CRASH, RESTART, STAND, LOST, DOUBLED, LATE, ERROR }
@@ -92,8 +95,10 @@
         return this;
     }
 
-    void arm(At at) {
-        armed = at;
+    /** Faults that come one after the other; the passes of each count from the one before. */
+    void arm(At... ats) {
+        armed.clear();
+        armed.addAll(Arrays.asList(ats));
         passes.clear();
     }
 
@@ -298,18 +303,21 @@
 
         @Override public void point(Point point) {
             int pass = passes.merge(point, 1, Integer::sum);
-            if (armed == null || point != armed.point() || pass != armed.pass() || sprung) {
+            At at = armed.peek();
+            if (at == null || point != at.point() || pass != at.pass()) {
                 return;
             }
-            sprung = true;
-            switch (armed.kind()) {
+            armed.poll();
+            passes.clear();
+            sprung++;
+            switch (at.kind()) {
                 case CRASH -> throw new Crashed();
                 case RESTART -> {
                     world.follow(new Plan(List.of(new Plan.Step(SECOND, new Fault.Restart(process)))));
                     throw new Crashed();
                 }
                 case STAND -> standing = true;
-                default -> next = armed.kind();
+                default -> next = at.kind();
             }
         }
 
