--- a/src/main/java/yewyoke/command/Main.java
+++ b/src/main/java/yewyoke/command/Main.java
@@ -1,6 +1,7 @@
 package yewyoke.command;
 
 import java.net.InetSocketAddress;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -8,11 +9,18 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import yewyoke.fleet.agree.AgreeSettings;
+import yewyoke.fleet.agree.Machine;
+import yewyoke.fleet.carrier.AgreeCarrier;
 import yewyoke.fleet.carrier.FleetConfig;
 import yewyoke.fleet.carrier.MemberCarrier;
+import yewyoke.fleet.carrier.PointFault;
 import yewyoke.fleet.member.Meta;
 import yewyoke.fleet.member.Settings;
-import yewyoke.toml.BadFile;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.BadFile;
+import yewyoke.error.OperatorError.NoFile;
+import yewyoke.error.OperatorError.Unexpected;
 
 /**
  * The program's command line, with all that it can do. {@code java -jar yewyoke.jar serve} goes past it: the
@@ -43,8 +51,11 @@
     static CommandLine line() {
         return new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true)
                 .setExecutionExceptionHandler((e, cmd, parsed) -> {
-                    cmd.getErr().println(cmd.getCommandSpec().qualifiedName() + ": "
-                            + (e.getMessage() == null ? e : e.getMessage()));
+                    OperatorError known = e instanceof OperatorError o ? o
+                            : e instanceof NoSuchFileException f
+                            ? new NoFile(Path.of(f.getFile()), "there is no such file or folder")
+                            : new Unexpected(e);
+                    cmd.getErr().println(cmd.getCommandSpec().qualifiedName() + ": " + known.getMessage());
                     return 2;
                 });
     }
@@ -78,10 +89,14 @@
             String listen = own.admin().listen();
             InetSocketAddress at = listen == null ? null : Own.address(file, "admin.listen", listen);
             FleetConfig fleet = own.fleet() == null ? null : fleet(own.fleet(), name);
+            AgreeSettings council = fleet == null || own.fleet().council() == null ? null
+                    : AgreeSettings.of(own.fleet().name(), own.fleet().council());
             int status = yewyoke.node.Main.run(new String[] {"serve"}, config, System.err, balancer -> {
                 MemberCarrier members = fleet == null ? null : MemberCarrier.start(balancer.loop(), fleet);
+                AgreeCarrier agreement = council == null ? null : AgreeCarrier.start(members, council,
+                        Machine.OF_VIEWS, PointFault.of(System.getProperty(PointFault.PROPERTY)));
                 if (at != null) {
-                    Admin admin = new Admin(at, name, balancer.status(), members);
+                    Admin admin = new Admin(at, name, balancer.status(), members, agreement);
                     LOG.log(System.Logger.Level.INFO, "operators are answered at " + admin.address());
                 }
             });
--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -38,7 +38,7 @@
 import yewyoke.Balancer.Effect;
 import yewyoke.Balancer.Request;
 import yewyoke.Balancer.RequestClass;
-import yewyoke.settings.BadInput;
+import yewyoke.error.OperatorError.BadInput;
 import yewyoke.settings.SettingsReader;
 
 /** The side towards clients: takes requests in, and gives each its one answer. */
@@ -241,7 +241,10 @@
                     return;
                 }
                 request = request(message, uri);
-            } catch (BadInput | IllegalArgumentException e) {
+            } catch (BadInput e) {
+                reject(message, e.what());
+                return;
+            } catch (IllegalArgumentException e) {
                 reject(message, e.getMessage());
                 return;
             }
@@ -327,7 +330,8 @@
         long left = number(headers, Driver.TIME_LEFT, requestClass.giveUp() / 1_000);
         long hint = number(headers, "X-Weight-Hint", 0);
         List<String> keys = uri.parameters().get("key");
-        return new Request(id, cls, tenant, keys == null ? null : keys.get(0), hint, left * 1_000,
+        return new Request(id, cls, tenant, keys == null ? null : keys.get(0), hint,
+                Math.max(0, left * 1_000 - driver.unread()),
                 effect != Effect.SAFE, "1".equals(headers.get("X-Repeat")));
     }
 
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -31,6 +31,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import yewyoke.LogLines;
+import yewyoke.error.OperatorError.BadList;
 import yewyoke.node.Sockets.Client;
 import yewyoke.node.Sockets.Message;
 import yewyoke.node.Sockets.Script;
@@ -39,6 +41,7 @@
 /** The balancer between real sockets: each test is one way for it to lose, repeat or misplace a request. */
 class NodeTest {
     private static final Script SERVE = (m, s) -> Sockets.answer(s, "200 OK", "", "done");
+    private static final long STAND_MS = 600;
     private static final Script HANG = (m, s) -> { };
 
     @TempDir Path folder;
@@ -364,6 +367,32 @@
         assertEquals(0, Sockets.next(upstream.ended), "the attempt is given up");
     }
 
+    /** The loop stands still, as behind a long collection; what came meanwhile has less time left. */
+    @Test
+    void timeThatARequestWaitedUnreadIsTakenFromItsTime() throws Exception {
+        Server upstream = server(SERVE);
+        start(upstream);
+        Client client = client();
+        assertEquals(200, client.write(submit()).read().status());
+        Sockets.next(upstream.requests);
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch goesOn = new CountDownLatch(1);
+        var loop = group.next();
+        loop.execute(() -> {
+            stands.countDown();
+            for (long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STAND_MS);
+                    System.nanoTime() < end || goesOn.getCount() > 0;) {
+                Thread.onSpinWait();
+            }
+        });
+        stands.await();
+        client.write(request("POST", "submit", "9000", ""));
+        goesOn.countDown();
+        assertEquals(200, client.read().status());
+        long left = Long.parseLong(Sockets.next(upstream.requests).headers().get("x-time-left-ms"));
+        assertTrue(left < 9_000 - STAND_MS / 2, () -> "told that " + left + " ms are left");
+    }
+
     @Test
     void requestThatNoUpstreamCanTakeIsRefusedByTheDeadline() throws Exception {
         start(new Server[0]);
@@ -499,9 +528,14 @@
             Sockets.chunk(s, list(42, false, entry("s-" + old.addr(), old.addr(), "Terminating"),
                     entry("new", other.addr(), "Ready")));
         });
-        start(ready(old), discovery);
-        assertTrue(Sockets.next(discovery.requests).start().contains("since=41"));
-        awaitServedBy(other);
+        try (LogLines lines = new LogLines(Discovery.class)) {
+            start(ready(old), discovery);
+            assertTrue(Sockets.next(discovery.requests).start().contains("since=41"));
+            awaitServedBy(other);
+            String said = lines.next();
+            assertTrue(said.startsWith(BadList.CODE) && said.contains(discovery.addr())
+                    && said.contains(BadList.REMEDY), said);
+        }
         int before = old.requests.size();
         for (int i = 0; i < 5; i++) {
             assertEquals(200, client().write(submit()).read().status());
