Write log lines by Log4j's JSON layout, and draw messages by jqwik

Need: a layout and drawn inputs of our own where known libraries do it. Change: JsonLines hands each line to Log4j's JSON template layout, on the tools' class path alone; Wire of the agreement is tried with 1,000 drawn messages, whole, cut and with a byte changed, seeds fixed.

--- a/src/main/java/yewyoke/command/JsonLines.java
+++ b/src/main/java/yewyoke/command/JsonLines.java
@@ -1,81 +1,75 @@
 package yewyoke.command;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.IOException;
-import java.io.StringWriter;
-import java.io.UncheckedIOException;
 import java.util.Map;
 import java.util.logging.Formatter;
-import java.util.logging.Level;
 import java.util.logging.LogRecord;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.DefaultConfiguration;
+import org.apache.logging.log4j.core.impl.Log4jLogEvent;
+import org.apache.logging.log4j.core.time.MutableInstant;
+import org.apache.logging.log4j.layout.template.json.JsonTemplateLayout;
+import org.apache.logging.log4j.layout.template.json.JsonTemplateLayout.EventTemplateAdditionalField;
+import org.apache.logging.log4j.message.SimpleMessage;
+import org.apache.logging.log4j.util.SortedArrayStringMap;
 
 /**
- * One JSON object a line: time, level, process, subsystem, event and fields. It formats for the logger of the
- * platform, which the program writes to anyway: a second logging system would be one more to start.
+ * One JSON object a line: time, level, process, subsystem, event and fields, as Log4j's layout writes them. It
+ * formats for the logger of the platform, which the program writes to anyway: a second logging system would
+ * be one more to start.
  */
 final class JsonLines extends Formatter {
-    private static final JsonFactory JSON = new JsonFactory();
     private static final String OURS = "yewyoke.";
+    private static final String TEMPLATE = """
+            {"time": {"$resolver": "timestamp", "pattern":
+                {"format": "yyyy-MM-dd'T'HH:mm:ss.SSSSSS'Z'", "timeZone": "UTC"}},
+             "level": {"$resolver": "level", "field": "name"},
+             "subsystem": {"$resolver": "logger", "field": "name"},
+             "event": {"$resolver": "message", "stringified": true},
+             "fields": {"$resolver": "mdc", "flatten": true},
+             "error": {"$resolver": "exception", "field": "message"},
+             "stack": {"$resolver": "exception", "field": "stackTrace"}}""";
+    private static final Level ERROR = Level.forName("error", Level.ERROR.intLevel() + 1);
+    private static final Level WARNING = Level.forName("warning", Level.WARN.intLevel() + 1);
+    private static final Level INFO = Level.forName("info", Level.INFO.intLevel() + 1);
+    private static final Level DEBUG = Level.forName("debug", Level.DEBUG.intLevel() + 1);
 
-    private final String process;
+    private final JsonTemplateLayout layout;
 
     /** Lines that carry the name of this process. */
     JsonLines(String process) {
-        this.process = process;
+        layout = JsonTemplateLayout.newBuilder().setConfiguration(new DefaultConfiguration())
+                .setEventTemplate(TEMPLATE).setMaxStringLength(16_384)
+                .setEventTemplateAdditionalFields(new EventTemplateAdditionalField[] {
+                    EventTemplateAdditionalField.newBuilder().setKey("process").setValue(process).build()})
+                .build();
     }
 
     @Override public String format(LogRecord line) {
-        StringWriter text = new StringWriter();
-        try (JsonGenerator json = JSON.createGenerator(text)) {
-            json.writeStartObject();
-            json.writeStringField("time", line.getInstant().toString());
-            json.writeStringField("level", level(line.getLevel()));
-            json.writeStringField("process", process);
-            json.writeStringField("subsystem", subsystem(line.getLoggerName()));
-            json.writeStringField("event", formatMessage(line));
-            fields(json, line.getParameters());
-            if (line.getThrown() != null) {
-                json.writeStringField("error", line.getThrown().toString());
-                json.writeArrayFieldStart("stack");
-                for (StackTraceElement frame : line.getThrown().getStackTrace()) {
-                    json.writeString(frame.toString());
-                }
-                json.writeEndArray();
-            }
-            json.writeEndObject();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e); // there is no file behind it
-        }
-        return text.append('\n').toString();
+        MutableInstant at = new MutableInstant();
+        at.initFromEpochSecond(line.getInstant().getEpochSecond(), line.getInstant().getNano());
+        return layout.toSerializable(Log4jLogEvent.newBuilder().setInstant(at).setLevel(level(line.getLevel()))
+                .setLoggerName(subsystem(line.getLoggerName()))
+                .setMessage(new SimpleMessage(formatMessage(line)))
+                .setContextData(fields(line.getParameters())).setThrown(line.getThrown()).build());
     }
 
     /** A map among the parameters of a line holds its fields. */
-    private static void fields(JsonGenerator json, Object[] parameters) throws IOException {
+    private static SortedArrayStringMap fields(Object[] parameters) {
+        SortedArrayStringMap all = new SortedArrayStringMap();
         for (Object parameter : parameters == null ? new Object[0] : parameters) {
             if (parameter instanceof Map<?, ?> fields) {
-                for (Map.Entry<?, ?> field : fields.entrySet()) {
-                    json.writeFieldName(field.getKey().toString());
-                    if (field.getValue() instanceof Long number) {
-                        json.writeNumber(number);
-                    } else if (field.getValue() instanceof Integer number) {
-                        json.writeNumber(number);
-                    } else if (field.getValue() instanceof Double number && Double.isFinite(number)) {
-                        json.writeNumber(number);
-                    } else if (field.getValue() instanceof Boolean truth) {
-                        json.writeBoolean(truth);
-                    } else {
-                        json.writeString(String.valueOf(field.getValue()));
-                    }
-                }
+                fields.forEach((name, value) -> all.putValue(name.toString(),
+                        value instanceof Number || value instanceof Boolean ? value : String.valueOf(value)));
             }
         }
+        return all;
     }
 
-    private static String level(Level level) {
+    private static Level level(java.util.logging.Level level) {
         int value = level.intValue();
-        return value >= Level.SEVERE.intValue() ? "error" : value >= Level.WARNING.intValue() ? "warning"
-                : value >= Level.INFO.intValue() ? "info" : "debug";
+        return value >= java.util.logging.Level.SEVERE.intValue() ? ERROR
+                : value >= java.util.logging.Level.WARNING.intValue() ? WARNING
+                : value >= java.util.logging.Level.INFO.intValue() ? INFO : DEBUG;
     }
 
     /** The package under ours, as {@code node}; whole names for those of others. */
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -20,7 +20,7 @@
     @ParameterizedTest
     @CsvSource({"yewyoke,", "yewyoke.error,", "yewyoke.toml,yewyoke.error com.fasterxml.jackson..",
         "yewyoke.command,yewyoke.error yewyoke.toml yewyoke.node yewyoke.lab yewyoke.fleet.. picocli io.netty.. "
-        + "io.micrometer.. com.fasterxml.jackson..",
+        + "io.micrometer.. com.fasterxml.jackson.. org.apache.logging.log4j..",
         "yewyoke.settings,yewyoke yewyoke.error com.fasterxml.jackson.core..",
         "yewyoke.adapter,yewyoke yewyoke.error yewyoke.settings com.fasterxml.jackson.core..", "yewyoke.lab.fault,",
         "yewyoke.fleet.member,com.fasterxml.jackson.core..",
@@ -52,7 +52,7 @@
                 "yewyoke.settings..").should().dependOnClassesThat().resideInAnyPackage("yewyoke.lab..",
                 "yewyoke.command..", "yewyoke.toml..",
                 "yewyoke.fleet..", "picocli..", "com.fasterxml.jackson.databind..",
-                "io.micrometer..", "org.HdrHistogram..", "org.jfree..").check(PROGRAM);
+                "io.micrometer..", "org.HdrHistogram..", "org.jfree..", "org.apache.logging..").check(PROGRAM);
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/yewyoke/fleet/agree/WireProperties.java
@@ -0,0 +1,104 @@
+package yewyoke.fleet.agree;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+
+/** Whatever is written is read as the same; whatever else comes is refused by a reason, or is no harm. */
+class WireProperties {
+    private static final String FLEET = "dhaka";
+
+    @Provide
+    Arbitrary<Life> lives() {
+        return Combinators.combine(Arbitraries.strings().withCharRange(' ', '\ud7ff').ofMinLength(1)
+                .ofMaxLength(12), Arbitraries.longs()).as(Life::new);
+    }
+
+    private static Arbitrary<Term> terms() {
+        return Combinators.combine(Arbitraries.longs().greaterOrEqual(0), Arbitraries.longs()
+                .greaterOrEqual(0)).as(Term::new);
+    }
+
+    private static Arbitrary<Map<String, Long>> cuts() {
+        return Arbitraries.maps(Arbitraries.strings().alpha().ofMinLength(1).ofMaxLength(64),
+                Arbitraries.longs()).ofMaxSize(4).map(TreeMap::new);
+    }
+
+    private static Entry entry(long index, Term term, Entry.Kind kind, Map<String, Long> change, Life by,
+            long number, byte[] bytes) {
+        return switch (kind) {
+            case COMMAND -> new Entry(index, term, kind, Map.of(), null, by, number, bytes);
+            case LEADS -> new Entry(index, term, kind, Map.of(), null, null, number, null);
+            default -> new Entry(index, term, kind, change, null, null, number, null);
+        };
+    }
+
+    private Arbitrary<Entry> entries() {
+        return Combinators.combine(Arbitraries.longs().greaterOrEqual(1), terms(),
+                Arbitraries.of(Entry.Kind.class), cuts(), lives(), Arbitraries.longs(),
+                Arbitraries.bytes().array(byte[].class).ofMaxSize(40)).as(WireProperties::entry);
+    }
+
+    @Provide
+    Arbitrary<Message> messages() {
+        Arbitrary<List<Entry>> logs = entries().list().ofMaxSize(3);
+        Arbitrary<byte[]> bytes = Arbitraries.bytes().array(byte[].class).ofMaxSize(60);
+        Arbitrary<Message> heads = Combinators.combine(Arbitraries.of(Message.Kind.class), lives(),
+                lives().injectNull(0.3), terms(), Arbitraries.longs(), terms(), Arbitraries.longs())
+                .as(Message::of);
+        return Combinators.combine(heads, logs, bytes, Arbitraries.longs(), cuts(), Arbitraries.integers()
+                .between(0, 7)).as((m, log, b, offset, cut, is) -> m.with(log, offset)
+                .with(b, offset, offset).with(cut).says((is & 1) != 0, (is & 2) != 0, (is & 4) != 0));
+    }
+
+    @Property(tries = 500, seed = "18")
+    void whatIsWrittenIsReadAsTheSame(@ForAll("messages") Message message) throws Exception {
+        byte[] datagram = Wire.write(FLEET, message);
+        assertTrue(Agreement.isOurs(datagram));
+        Message read = Wire.read(datagram, FLEET);
+        assertArrayEquals(datagram, Wire.write(FLEET, read));
+        assertEquals(message.from(), read.from());
+        assertEquals(message.cut(), read.cut());
+        assertArrayEquals(message.bytes(), read.bytes());
+    }
+
+    /** Broken on the way, or made up: refused by a reason, and a process that hears it goes on. */
+    @Property(tries = 500, seed = "18")
+    void whatIsBrokenIsRefused(@ForAll("messages") Message message, @ForAll @IntRange(max = 2_000) int at,
+            @ForAll byte other, @ForAll boolean cut) {
+        byte[] whole = Wire.write(FLEET, message);
+        byte[] datagram = cut ? Arrays.copyOf(whole, at % whole.length) : whole.clone();
+        if (!cut) {
+            datagram[at % datagram.length] = other;
+        }
+        Agreement agreement = new Agreement(AgreeSettings.of(FLEET, List.of("a", "b", "c")), new Life("a", 1),
+                1, Machine.OF_VIEWS, new Agreement.Out() {
+                    @Override public void send(String name, byte[] bytes) { }
+
+                    @Override public void timer(String token, long delay) { }
+
+                    @Override public long wall() {
+                        return 0;
+                    }
+
+                    @Override public void note(Note note) { }
+                });
+        agreement.started(0);
+        agreement.received(1, datagram);
+        assertTrue(!cut || agreement.refused().values().stream().mapToLong(v -> v).sum() == 1,
+                () -> "refused " + agreement.refused());
+        assertEquals(0, agreement.applied());
+    }
+}
