Add the core of work on machines: an agenda, leave to send, permits and returns

Need: machines are to be taken out for work in an order that the balancers settle among themselves, with nothing sent to one that is out. Change: yewyoke.fleet.work has the agenda, a state machine fed by the log, and one process's part: it keeps away, says so, asks for leave, and moves the agenda on while it leads. No carrier yet, so nothing of it can be switched on.

--- /dev/null
+++ b/src/main/java/yewyoke/fleet/work/Command.java
@@ -0,0 +1,90 @@
+package yewyoke.fleet.work;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import yewyoke.fleet.agree.Token;
+
+/**
+ * One step of the agenda as it goes into the log. What a step needs to know of the world stands in it, so
+ * that all take it alike.
+ *
+ * @param name of a plan, machine or process, by kind
+ * @param token of the order or permit that it is about, null where there is none
+ * @param at a time as Unix time in milliseconds, by kind
+ * @param text a reason for people
+ * @param down machines that fail by themselves, for orders and permits
+ */
+record Command(Kind kind, String name, Token token, long at, String text, Terms terms, Part part,
+        List<String> down) {
+    /** What is to happen. */
+    enum Kind {
+        /** The proposer may send to upstreams from now on. */ REGISTER,
+        /** A life that is not in the view has not been seen for long. */ GONE,
+        /** Operators say that the process of that name has ended. */ ENDED,
+        /** Nothing that was granted before the founding can be going on any more. */ SAFE,
+        /** A plan begins. */ PLAN,
+        /** One machine of it. */ PART,
+        /** The proposer knows the plan with this token. */ KNOW,
+        /** It is a machine's turn. */ ORDER,
+        /** The proposer sends nothing there any more. */ CLEAR,
+        /** The work may begin. */ GRANT,
+        /** The work is done. */ DONE,
+        /** The machine has proved itself. */ TAKEN_IN,
+        /** It has not. */ FAIL,
+        /** The work takes too long. */ OVERDUE,
+        /** Nothing more is taken out. */ HALT,
+        /** Things go on. */ RESUME,
+        /** A machine, or all that wait of a plan, are taken off the agenda. */ WITHDRAW,
+        /** A machine goes before the others. */ FIRST
+    }
+
+    static Command of(Kind kind, String name, Token token) {
+        return new Command(kind, name, token, 0, null, null, null, List.of());
+    }
+
+    Command because(String why) {
+        return new Command(kind, name, token, at, why, terms, part, down);
+    }
+
+    Command until(long millis) {
+        return new Command(kind, name, token, millis, text, terms, part, down);
+    }
+
+    Command beside(List<String> itsDown) {
+        return new Command(kind, name, token, at, text, terms, part, List.copyOf(itsDown));
+    }
+
+    static Command plan(Terms terms) {
+        return new Command(Kind.PLAN, terms.plan(), null, 0, null, terms, null, List.of());
+    }
+
+    static Command part(String plan, Part part) {
+        return new Command(Kind.PART, plan, null, 0, null, null, part, List.of());
+    }
+
+    byte[] write() {
+        return Json.write(Json.map("do", kind.name(), "name", name, "epoch", token == null ? null
+                : token.epoch(), "index", token == null ? null : token.index(), "at", at == 0 ? null : at,
+                "text", text, "terms",
+                terms == null ? null : terms.toMap(), "part", part == null ? null : part.toMap(), "down",
+                down.isEmpty() ? null : down));
+    }
+
+    @SuppressWarnings("unchecked") // a list of anything else is refused below
+    static Command read(byte[] bytes) throws IOException {
+        Map<String, Object> map = Json.read(bytes);
+        try {
+            Map<String, Object> terms = Json.object(map, "terms");
+            Map<String, Object> part = Json.object(map, "part");
+            List<String> down = (List<String>) map.getOrDefault("down", List.of());
+            Token token = map.containsKey("epoch") ? new Token(Json.number(map, "epoch"),
+                    Json.number(map, "index")) : null;
+            return new Command(Kind.valueOf(Json.text(map, "do")), Json.text(map, "name"), token,
+                    Json.number(map, "at"), Json.text(map, "text"), terms == null ? null : Terms.of(terms),
+                    part == null ? null : Part.of(part), down);
+        } catch (ClassCastException | IllegalArgumentException | NullPointerException e) {
+            throw new IOException("not a step of an agenda", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/fleet/work/Part.java
@@ -0,0 +1,27 @@
+package yewyoke.fleet.work;
+
+import java.util.Map;
+
+/**
+ * One machine of a plan, with what its fellows may not be out with it.
+ *
+ * @param machine its name on the agenda
+ * @param upstream the upstream that it holds, null for none
+ * @param member the process of the fleet that it holds, null for none
+ * @param zone with kind and cell as discovery tells them
+ * @param seconds so long its work takes at most
+ */
+public record Part(String machine, String upstream, String member, long zone, long kind, long cell,
+        long seconds) {
+    Map<String, Object> toMap() {
+        return Json.map("machine", machine, "upstream", upstream, "member", member, "zone", zone,
+                "kind", kind,
+                "cell", cell, "seconds", seconds);
+    }
+
+    static Part of(Map<String, Object> map) {
+        return new Part(Json.text(map, "machine"), Json.text(map, "upstream"), Json.text(map, "member"),
+                Json.number(map, "zone"), Json.number(map, "kind"), Json.number(map, "cell"),
+                Json.number(map, "seconds"));
+    }
+}
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -19,19 +19,23 @@
     /** Each package with all that it may use, the platform's own apart. */
     @ParameterizedTest
     @CsvSource({"yewyoke,", "yewyoke.error,", "yewyoke.toml,yewyoke.error com.fasterxml.jackson..",
-        "yewyoke.command,yewyoke.error yewyoke.toml yewyoke.node yewyoke.lab yewyoke.fleet.. picocli io.netty.. "
-        + "io.micrometer.. com.fasterxml.jackson.. org.apache.logging.log4j..",
+        "yewyoke.command,yewyoke.error yewyoke.toml yewyoke.node yewyoke.lab yewyoke.fleet.. picocli "
+        + "io.netty.. io.micrometer.. com.fasterxml.jackson.. org.apache.logging.log4j..",
         "yewyoke.settings,yewyoke yewyoke.error com.fasterxml.jackson.core..",
-        "yewyoke.adapter,yewyoke yewyoke.error yewyoke.settings com.fasterxml.jackson.core..", "yewyoke.lab.fault,",
+        "yewyoke.adapter,yewyoke yewyoke.error yewyoke.settings com.fasterxml.jackson.core..",
+        "yewyoke.lab.fault,",
         "yewyoke.fleet.member,com.fasterxml.jackson.core..",
         "yewyoke.fleet.agree,com.fasterxml.jackson.core..",
+        "yewyoke.fleet.work,yewyoke.fleet.agree com.fasterxml.jackson.core..",
         "yewyoke.fleet.carrier,yewyoke.fleet.member yewyoke.fleet.agree io.netty..",
         "yewyoke.lab.virtual,yewyoke.lab.fault", "yewyoke.lab.check,",
         "yewyoke.lab.relay,yewyoke.lab.fault io.netty..",
         "yewyoke.lab.stand,yewyoke.lab.check io.netty.. com.fasterxml.jackson.core..",
-        "yewyoke.lab.play,yewyoke.error yewyoke.lab.fault yewyoke.lab.relay yewyoke.lab.check yewyoke.lab.stand io.netty.. "
+        "yewyoke.lab.play,yewyoke.error yewyoke.lab.fault yewyoke.lab.relay yewyoke.lab.check yewyoke.lab.stand "
+        + "io.netty.. "
         + "com.fasterxml.jackson.core..",
-        "yewyoke.lab.experiment,yewyoke.error yewyoke.lab.fault yewyoke.lab.check yewyoke.lab.stand yewyoke.lab.play "
+        "yewyoke.lab.experiment,yewyoke.error yewyoke.lab.fault yewyoke.lab.check yewyoke.lab.stand "
+        + "yewyoke.lab.play "
         + "yewyoke.toml com.fasterxml.jackson.. org.HdrHistogram org.jfree.."})
     void aPackageUsesNoMoreThanIsSaid(String name, String others) {
         String[] allowed = ("java.. " + name + (others == null ? "" : " " + others)).split(" ");
@@ -52,7 +56,8 @@
                 "yewyoke.settings..").should().dependOnClassesThat().resideInAnyPackage("yewyoke.lab..",
                 "yewyoke.command..", "yewyoke.toml..",
                 "yewyoke.fleet..", "picocli..", "com.fasterxml.jackson.databind..",
-                "io.micrometer..", "org.HdrHistogram..", "org.jfree..", "org.apache.logging..").check(PROGRAM);
+                "io.micrometer..", "org.HdrHistogram..", "org.jfree..",
+                "org.apache.logging..").check(PROGRAM);
     }
 
     @Test
