--- a/src/main/java/yewyoke/command/Admin.java
+++ b/src/main/java/yewyoke/command/Admin.java
@@ -74,6 +74,7 @@
     private final WorkDesk work;
     private final Channel listening;
     private volatile Status status = NOTHING;
+    private volatile AgreeCarrier.Look agreed;
 
     /** Answers at an address from now on; what is not configured is null. */
     Admin(InetSocketAddress listen, String process, Supplier<Future<Status>> balancer,
@@ -97,6 +98,16 @@
             counter("yewyoke.answers", "Requests by how they ended", Tags.of("answer", answer),
                     s -> s.answers().getOrDefault(answer, 0L));
         }
+        if (agreement != null) {
+            agreed("yewyoke.agreement.decides", "1 if a majority of the council is heard here",
+                    l -> l.decides() ? 1 : 0);
+            agreed("yewyoke.agreement.leads", "1 if this process leads",
+                    l -> l.self().equals(l.leader()) ? 1 : 0);
+            agreed("yewyoke.agreement.members", "Lives in the view", l -> l.view().lives().size());
+            agreed("yewyoke.agreement.applied", "Decrees known here", AgreeCarrier.Look::applied);
+            agreed("yewyoke.agreement.waiting", "Commands of this process that are not decided",
+                    AgreeCarrier.Look::waiting);
+        }
         refresh();
         for (String end : status.attempts().keySet()) {
             counter("yewyoke.attempts", "Attempts by how they ended", Tags.of("end", end),
@@ -120,6 +131,12 @@
         Gauge.builder(name, () -> value.applyAsDouble(status)).description(what).register(registry);
     }
 
+    /** A figure of the agreement; not a number while the event loop does not answer. */
+    private void agreed(String name, String what, ToDoubleFunction<AgreeCarrier.Look> value) {
+        Gauge.builder(name, () -> agreed == null ? Double.NaN : value.applyAsDouble(agreed)).description(what)
+                .register(registry);
+    }
+
     private void counter(String name, String what, Tags tags, Function<Status, Long> value) {
         FunctionCounter.builder(name, this, m -> value.apply(m.status)).description(what).tags(tags)
                 .register(registry);
@@ -129,6 +146,7 @@
     private boolean refresh() {
         Status now = got(balancer.get());
         status = now == null ? status : now;
+        agreed = agreement == null ? null : got(agreement.look());
         return now != null;
     }
 
--- a/src/main/java/yewyoke/command/Beside.java
+++ b/src/main/java/yewyoke/command/Beside.java
@@ -16,8 +16,8 @@
                 return work.maySend(upstream);
             }
 
-            @Override public void ended(String upstream, boolean answered) {
-                work.ended(upstream, answered);
+            @Override public void ended(String upstream, boolean served, long took) {
+                work.ended(upstream, served, took);
             }
         }));
     }
--- a/src/main/java/yewyoke/fleet/carrier/WorkCarrier.java
+++ b/src/main/java/yewyoke/fleet/carrier/WorkCarrier.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Callable;
@@ -34,6 +35,9 @@
     private static final long LONG_ENOUGH = 10_000_000;
     private static final int FEWEST = 5;
     private static final double BAD = 0.5;
+    /** So many times as long as its fellows take is worse; cold upstreams take up to a few times as long. */
+    private static final double SLOW = 8;
+    private static final double SMOOTH = 0.02;
 
     private final AgreeCarrier agreement;
     private final Agenda agenda;
@@ -43,12 +47,15 @@
     private final Map<String, Integer> notServed = new HashMap<>();
     private final Map<String, Tally> tallies = new HashMap<>();
     private Set<String> away = Set.of();
+    /** What an answer of the others takes, smoothed, in microseconds; 0 until there was one. */
+    private double fellowsTook;
 
     /** How an upstream does that is back. */
     private static final class Tally {
         final long since;
         int served;
         int failed;
+        long took;
 
         Tally(long since) {
             this.since = since;
@@ -95,8 +102,8 @@
         return work.maySend(now(), upstream);
     }
 
-    /** An attempt is over. */
-    public void ended(String upstream, boolean served) {
+    /** An attempt is over after so many microseconds. */
+    public void ended(String upstream, boolean served, long took) {
         if (served) {
             notServed.remove(upstream);
         } else {
@@ -106,6 +113,9 @@
         if (tally != null) {
             tally.served += served ? 1 : 0;
             tally.failed += served ? 0 : 1;
+            tally.took += served ? took : 0;
+        } else if (served) {
+            fellowsTook += (fellowsTook == 0 ? 1 : SMOOTH) * (took - fellowsTook);
         }
     }
 
@@ -219,8 +229,12 @@
     @Override public String worse(String upstream) {
         Tally tally = tallies.get(upstream);
         int all = tally.served + tally.failed;
-        return all >= FEWEST && tally.failed > BAD * all
-                ? tally.failed + " of " + all + " attempts failed" : null;
+        if (all >= FEWEST && tally.failed > BAD * all) {
+            return tally.failed + " of " + all + " attempts failed";
+        }
+        double mean = tally.served < FEWEST ? 0 : (double) tally.took / tally.served;
+        return fellowsTook > 0 && mean > SLOW * fellowsTook ? String.format(Locale.ROOT,
+                "answers take %.1f ms, those of its fellows %.1f", mean / 1e3, fellowsTook / 1e3) : null;
     }
 
     @Override public void moved(Job job) {
--- a/src/main/java/yewyoke/fleet/work/Work.java
+++ b/src/main/java/yewyoke/fleet/work/Work.java
@@ -215,7 +215,9 @@
     // ---- Keeping away ----------------------------------------------------------------------------------
 
     private void notice() {
-        for (Job job : agenda.jobs()) {
+        List<Job> jobs = agenda.jobs();
+        seen.keySet().retainAll(jobs.stream().map(Job::machine).toList());
+        for (Job job : jobs) {
             if (seen.put(job.machine(), job.state()) != job.state()) {
                 out.moved(job);
                 switch (job.state()) {
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -388,12 +388,12 @@
             o.concluded = true;
             o.client.served(answer.content().retain());
         }
-        if (restraint != null) {
-            restraint.ended(attempt.upstream, outcome == Outcome.OK);
-        }
         LoadReport load = answer == null ? null : load(answer.headers().get("X-Backend-Load"));
         forgetIfDone(o);
         long took = now() - attempt.sentAt;
+        if (restraint != null) {
+            restraint.ended(attempt.upstream, outcome == Outcome.OK, took);
+        }
         event(() -> balancer.outcome(now(), new AttemptEnd(o.request.id(), number, attempt.upstream, outcome,
                 took, o.concluded, load)));
     }
--- a/src/main/java/yewyoke/node/Sending.java
+++ b/src/main/java/yewyoke/node/Sending.java
@@ -10,8 +10,8 @@
         /** Whether an attempt may begin now. */
         boolean maySend(String upstream);
 
-        /** An attempt is over; {@code answered} if it was served. */
-        void ended(String upstream, boolean answered);
+        /** An attempt is over after so many microseconds; {@code served} if it was. */
+        void ended(String upstream, boolean served, long took);
     }
 
     /** An upstream as discovery told it last. */
--- a/src/test/java/yewyoke/lab/play/FleetTest.java
+++ b/src/test/java/yewyoke/lab/play/FleetTest.java
@@ -85,6 +85,7 @@
             default -> Plan.QUIET;
         };
         try (Fleet fleet = new Fleet(layout(1, 3, kind == Kind.COLD_OVERRUN ? 300 : 60, command))) {
+            fleet.out("u0", kind == Kind.OUT); // it takes no part in any work, and sends there
             List<Violation> found = fleet.play(kind == Kind.AFTER_DRAIN ? 4 * SECOND : 2 * SECOND, plan)
                     .violations();
             assertTrue(!found.isEmpty(), "nothing was found");
