--- a/src/test/java/yewyoke/command/AgreementOfProcessesTest.java
+++ b/src/test/java/yewyoke/command/AgreementOfProcessesTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import yewyoke.lab.fault.Fault;
 import yewyoke.lab.fault.LinkFault;
+import yewyoke.lab.play.Fleet;
+import yewyoke.lab.relay.Relay;
 
 /** Five processes of the program that agree on who belongs to them, with faults between them. */
 @Timeout(300)
@@ -83,44 +85,8 @@
             fleet.bring(new Fault.Resume(paused));
             agreed("with it again", ALL, view(ALL));
 
-            // It hears the others and is not heard, then the reverse.
-            String cut = leader();
-            without(cut).forEach(n -> relay.bring(new Fault.Link(cut, n, LinkFault.CUT)));
-            agreed("a leader that is not heard", without(cut), view(without(cut)));
-            relay.bring(new Fault.HealAll());
-            agreed("heard again", ALL, view(ALL));
-            String deaf = leader();
-            without(deaf).forEach(n -> relay.bring(new Fault.Link(n, deaf, LinkFault.CUT)));
-            agreed("a leader that hears nobody", without(deaf), view(without(deaf)));
-            relay.bring(new Fault.HealAll());
-            agreed("it hears again", ALL, view(ALL));
-
-            Processes.cut(relay, List.of("b0", "b1"), List.of("b2", "b3", "b4"));
-            agreed("the larger part", List.of("b2", "b3", "b4"), view(List.of("b2", "b3", "b4")));
-            long number = number("b0");
-            agreed("the smaller part knows", List.of("b0", "b1"), l -> !l.get("decides").asBoolean());
-            Processes.cut(relay, List.of("b2", "b3"), List.of("b4"));
-            agreed("three parts", ALL, l -> !l.get("decides").asBoolean());
-            assertEquals(number, number("b0"), "the smaller part decided");
-            relay.bring(new Fault.HealAll());
-            agreed("one again", ALL, view(ALL));
-            assertEquals(epoch, epoch("b0"), "somebody began anew");
-
-            for (String from : ALL) {
-                without(from).forEach(to -> relay.bring(new Fault.Link(from, to, LOSSY)));
-            }
-            String lossy = leader();
-            fleet.bring(new Fault.Restart(lossy));
-            agreed("a restart at 20% loss", ALL, view(ALL)
-                    .and(life(lossy, l -> l == life(lossy))));
-            relay.bring(new Fault.HealAll());
-            without("b4").forEach(n -> {
-                relay.bring(new Fault.Link("b4", n, SLOW));
-                relay.bring(new Fault.Link(n, "b4", SLOW));
-            });
-            fleet.bring(new Fault.Restart("b1"));
-            agreed("a restart beside a slow one", ALL, view(ALL).and(life("b1", l -> l == life("b1"))));
-            relay.bring(new Fault.HealAll());
+            throughCuts(relay, epoch);
+            throughLossAndSlowness(fleet, relay);
             assertEquals(epoch, epoch("b0"), "somebody began anew");
 
             List<String> most = List.of("b0", "b1", "b2", "b3");
@@ -137,6 +103,49 @@
         });
     }
 
+    private void throughCuts(Relay relay, long epoch) throws Exception {
+        // It hears the others and is not heard, then the reverse.
+        String cut = leader();
+        without(cut).forEach(n -> relay.bring(new Fault.Link(cut, n, LinkFault.CUT)));
+        agreed("a leader that is not heard", without(cut), view(without(cut)));
+        relay.bring(new Fault.HealAll());
+        agreed("heard again", ALL, view(ALL));
+        String deaf = leader();
+        without(deaf).forEach(n -> relay.bring(new Fault.Link(n, deaf, LinkFault.CUT)));
+        agreed("a leader that hears nobody", without(deaf), view(without(deaf)));
+        relay.bring(new Fault.HealAll());
+        agreed("it hears again", ALL, view(ALL));
+
+        Processes.cut(relay, List.of("b0", "b1"), List.of("b2", "b3", "b4"));
+        agreed("the larger part", List.of("b2", "b3", "b4"), view(List.of("b2", "b3", "b4")));
+        long number = number("b0");
+        agreed("the smaller part knows", List.of("b0", "b1"), l -> !l.get("decides").asBoolean());
+        Processes.cut(relay, List.of("b2", "b3"), List.of("b4"));
+        agreed("three parts", ALL, l -> !l.get("decides").asBoolean());
+        assertEquals(number, number("b0"), "the smaller part decided");
+        relay.bring(new Fault.HealAll());
+        agreed("one again", ALL, view(ALL));
+        assertEquals(epoch, epoch("b0"), "somebody began anew");
+    }
+
+    private void throughLossAndSlowness(Fleet fleet, Relay relay) throws Exception {
+        for (String from : ALL) {
+            without(from).forEach(to -> relay.bring(new Fault.Link(from, to, LOSSY)));
+        }
+        String lossy = leader();
+        fleet.bring(new Fault.Restart(lossy));
+        agreed("a restart at 20% loss", ALL, view(ALL)
+                .and(life(lossy, l -> l == life(lossy))));
+        relay.bring(new Fault.HealAll());
+        without("b4").forEach(n -> {
+            relay.bring(new Fault.Link("b4", n, SLOW));
+            relay.bring(new Fault.Link(n, "b4", SLOW));
+        });
+        fleet.bring(new Fault.Restart("b1"));
+        agreed("a restart beside a slow one", ALL, view(ALL).and(life("b1", l -> l == life("b1"))));
+        relay.bring(new Fault.HealAll());
+    }
+
     private long life(String process) {
         try {
             return all.look(process, "agreement").at("/self/life").asLong();
--- a/src/test/java/yewyoke/command/PointsOfProcessesTest.java
+++ b/src/test/java/yewyoke/command/PointsOfProcessesTest.java
@@ -15,7 +15,6 @@
 import yewyoke.fleet.agree.Point;
 import yewyoke.fleet.carrier.PointFault;
 import yewyoke.lab.fault.Fault;
-import yewyoke.lab.fault.LinkFault;
 
 /**
  * Five processes, of which the first that comes to a point crashes there or stands still. Which one that is,
--- a/src/test/java/yewyoke/command/WorkOfProcessesTest.java
+++ b/src/test/java/yewyoke/command/WorkOfProcessesTest.java
@@ -99,6 +99,19 @@
         return look.path("decides").asBoolean() && look.at("/view/lives").size() == ALL.size();
     }
 
+    /** Work goes on while a process fails, until it is voted out, and until it is taken in again. */
+    private void outAndBack(Fleet fleet, Worker worker, String who, String asked, Fault fails, Fault returns)
+            throws Exception {
+        fleet.bring(fails);
+        while (all.look(asked, "agreement").at("/view/lives").has(who)) {
+            worker.look(asked);
+        }
+        fleet.bring(returns);
+        while (!whole(asked)) {
+            worker.look(asked);
+        }
+    }
+
     @Test
     void machinesAreTakenOutUnderTrafficThroughKillsPausesCutsAndLoss() throws Exception {
         all = new Processes(folder, ALL, FLEET);
@@ -121,24 +134,10 @@
             }
             String leader = all.look("b0", "agreement").at("/leader/name").asText();
             List<String> others = ALL.stream().filter(n -> !n.equals(leader)).toList();
-            fleet.bring(new Fault.Kill(leader));
             String asked = others.get(0);
-            while (all.look(asked, "agreement").at("/view/lives").has(leader)) {
-                worker.look(asked);
-            }
-            fleet.bring(new Fault.Restart(leader));
-            while (!whole(asked)) {
-                worker.look(asked);
-            }
-            String stands = others.get(1);
-            fleet.bring(new Fault.Pause(stands));
-            while (all.look(asked, "agreement").at("/view/lives").has(stands)) {
-                worker.look(asked);
-            }
-            fleet.bring(new Fault.Resume(stands));
-            while (!whole(asked)) {
-                worker.look(asked);
-            }
+            outAndBack(fleet, worker, leader, asked, new Fault.Kill(leader), new Fault.Restart(leader));
+            outAndBack(fleet, worker, others.get(1), asked, new Fault.Pause(others.get(1)),
+                    new Fault.Resume(others.get(1)));
             String cut = others.get(2);
             Processes.cut(relay, List.of(cut), ALL.stream().filter(n -> !n.equals(cut)).toList());
             all.await("it knows that it is cut off", List.of(cut), "agreement",
