Let the virtual fleets of agreement and work share their faults at points

Need: both had the same faults, passes, late messages and ends of a process written out (named by the search for duplicates), with small differences: what a process of the work had sent in the step in which it stood still went out all the same. Change: PointFaults has them once, for any points; names of processes come from one place.

--- a/src/test/java/yewyoke/fleet/agree/AgreementTest.java
+++ b/src/test/java/yewyoke/fleet/agree/AgreementTest.java
@@ -6,14 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static yewyoke.fleet.agree.VirtualAgreement.SECOND;
-import static yewyoke.fleet.agree.VirtualAgreement.names;
+import static yewyoke.fleet.member.VirtualFleet.names;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
-import java.util.EnumMap;
+import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.stream.LongStream;
@@ -23,6 +23,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import yewyoke.fleet.PointFaults.At;
+import yewyoke.fleet.PointFaults.Kind;
 import yewyoke.lab.fault.Fault;
 import yewyoke.lab.fault.Plan;
 import yewyoke.lab.virtual.Explorer;
@@ -99,9 +101,9 @@
     // ---- Each point of fault in turn -------------------------------------------------------------------
 
     /** All that an agreement does: a leader dies and comes back, a member stands still for long, one goes. */
-    private static VirtualAgreement busy(VirtualAgreement.At... ats) {
+    private static VirtualAgreement busy(List<At<Point>> ats) {
         VirtualAgreement fleet = new VirtualAgreement(1, SHORT).with(6);
-        fleet.arm(ats);
+        fleet.faults.arm(ats);
         fleet.run(9 * SECOND);
         String leader = fleet.living().stream().filter(n -> fleet.nodes.get(n).agreement.leads()).findFirst()
                 .orElse("m0");
@@ -116,15 +118,9 @@
 
     @Test
     void aBusyFleetPassesEachPoint() {
-        VirtualAgreement fleet = busy();
+        VirtualAgreement fleet = busy(List.of());
         assertEquals(Optional.empty(), end(fleet));
-        Map<Point, Integer> never = new EnumMap<>(Point.class);
-        for (Point p : Point.values()) {
-            if (!fleet.passes.containsKey(p)) {
-                never.put(p, 0);
-            }
-        }
-        assertEquals(Map.of(), never);
+        assertEquals(EnumSet.allOf(Point.class), fleet.faults.passes.keySet());
     }
 
     /** The first pass of most lies in a founding. */
@@ -139,31 +135,31 @@
     @ParameterizedTest
     @EnumSource(Point.class)
     void aFaultAtTheLastPassOfAnyPointBreaksNothing(Point point) {
-        failAt(point, busy().passes.get(point));
+        failAt(point, busy(List.of()).faults.passes.get(point));
     }
 
     private static void failAt(Point point, int pass) {
-        for (VirtualAgreement.Kind kind : VirtualAgreement.Kind.values()) {
-            VirtualAgreement.At at = new VirtualAgreement.At(point, pass, kind);
-            VirtualAgreement fleet = busy(at);
+        for (Kind kind : Kind.values()) {
+            At<Point> at = new At<>(point, pass, kind);
+            VirtualAgreement fleet = busy(List.of(at));
             assertEquals(Optional.empty(), end(fleet), at::toString);
-            assertEquals(1, fleet.sprung, at::toString);
+            assertEquals(1, fleet.faults.sprung, at::toString);
         }
     }
 
     /** Two faults, one after the other, at points and passes that are drawn. */
     private static Optional<String> pair(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        VirtualAgreement.At[] ats = new VirtualAgreement.At[2];
-        for (int i = 0; i < ats.length; i++) {
-            ats[i] = new VirtualAgreement.At(Point.values()[random.nextInt(Point.values().length)],
+        List<At<Point>> ats = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            ats.add(new At<>(Point.values()[random.nextInt(Point.values().length)],
                     1 + (int) Math.pow(40, random.nextDouble()),
-                    VirtualAgreement.Kind.values()[random.nextInt(VirtualAgreement.Kind.values().length)]);
+                    Kind.values()[random.nextInt(Kind.values().length)]));
         }
         VirtualAgreement fleet = busy(ats);
-        fleet.arm(); // what has not come by now would come too late to be over in the end
-        return end(fleet).map(wrong -> "seed " + seed + ", " + Arrays.toString(ats) + ", "
-                + fleet.sprung + " came: " + wrong);
+        fleet.faults.arm(List.of()); // what has not come by now would come too late to be over in the end
+        return end(fleet).map(wrong -> "seed " + seed + ", " + ats + ", " + fleet.faults.sprung
+                + " came: " + wrong);
     }
 
     @ParameterizedTest
--- a/src/test/java/yewyoke/fleet/agree/VirtualAgreement.java
+++ b/src/test/java/yewyoke/fleet/agree/VirtualAgreement.java
@@ -1,16 +1,14 @@
 package yewyoke.fleet.agree;
 
+import static yewyoke.fleet.member.VirtualFleet.names;
+
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Deque;
-import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,12 +16,12 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.UnaryOperator;
+import yewyoke.fleet.PointFaults;
 import yewyoke.fleet.member.Event;
 import yewyoke.fleet.member.Membership;
 import yewyoke.fleet.member.Meta;
 import yewyoke.lab.fault.Fault;
 import yewyoke.lab.fault.LinkFault;
-import yewyoke.lab.fault.Plan;
 import yewyoke.lab.virtual.Core;
 import yewyoke.lab.virtual.World;
 
@@ -34,14 +32,12 @@
 final class VirtualAgreement {
     static final long SECOND = 1_000_000;
     private static final LinkFault LAN = new LinkFault(false, 200, 300, 0, 0);
-    /** Longer than any timer of an agreement or of the membership below it. */
-    private static final long LONG_STAND = 12 * SECOND;
     private static final long WORK = 1_500_000;
 
     final World world;
     final Map<String, Node> nodes = new LinkedHashMap<>();
     final List<String> broken = new ArrayList<>();
-    final Map<Point, Integer> passes = new EnumMap<>(Point.class);
+    final PointFaults<Point> faults = new PointFaults<>();
     final AgreeSettings settings;
     final List<Note> foundings = new ArrayList<>();
     long datagrams;
@@ -52,23 +48,6 @@
     private View newest = View.NONE;
     /** What is left of a message on its way: a mutant of the protocol, for those who look if it is seen. */
     UnaryOperator<Message> says = UnaryOperator.identity();
-    private final Deque<At> armed = new ArrayDeque<>();
-    int sprung;
-
-    /** What goes wrong at a point. */
-    enum Kind { CRASH, RESTART, STAND, LOST, DOUBLED, LATE, ERROR }
-
-    /** A fault at the n-th pass of a point, whoever passes. */
-    record At(Point point, int pass, Kind kind) { }
-
-    /** Ends a process in the middle of a step. */
-    private static final class Crashed extends RuntimeException {
-        private static final long serialVersionUID = 1L;
-
-        Crashed() {
-            super(null, null, false, false);
-        }
-    }
 
     VirtualAgreement(long seed, AgreeSettings settings) {
         this.world = new World(seed, LAN);
@@ -76,14 +55,6 @@
         this.lives = new SplittableRandom(seed);
     }
 
-    static List<String> names(int count) {
-        List<String> names = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            names.add("m" + i);
-        }
-        return names;
-    }
-
     VirtualAgreement with(int count) {
         for (String name : names(count)) {
             world.add(name, (p, seed, actions) -> {
@@ -95,13 +66,6 @@
         return this;
     }
 
-    /** Faults that come one after the other; the passes of each count from the one before. */
-    void arm(At... ats) {
-        armed.clear();
-        armed.addAll(Arrays.asList(ats));
-        passes.clear();
-    }
-
     void run(long micros) {
         world.run(world.now() + micros);
     }
@@ -150,10 +114,7 @@
         private final String process;
         private final Actions actions;
         private final Membership membership;
-        private final List<Runnable> held = new ArrayList<>();
-        private final Map<String, Runnable> late = new TreeMap<>();
-        private Kind next;
-        private boolean standing;
+        private final PointFaults<Point>.Post post;
         private boolean changed = true;
         boolean working = true;
         private int worked;
@@ -161,31 +122,15 @@
         Node(String process, long seed, Actions actions) {
             this.process = process;
             this.actions = actions;
+            this.post = faults.new Post(world, process, actions);
             this.me = new Life(process, lives.nextLong(1, Long.MAX_VALUE));
             this.membership = new Membership(yewyoke.fleet.member.Settings.of("dhaka"), process, me.life(), 0,
                     process, Meta.NONE, names(3), seed, this);
             this.agreement = new Agreement(settings, me, seed, machine, this);
         }
 
-        private void step(Runnable what) {
-            try {
-                if (!standing) {
-                    held.forEach(Runnable::run);
-                    held.clear();
-                }
-                what.run();
-                if (standing) {
-                    standing = false;
-                    world.bring(new Fault.Pause(process));
-                    world.follow(new Plan(List.of(new Plan.Step(LONG_STAND, new Fault.Resume(process)))));
-                }
-            } catch (Crashed e) {
-                world.bring(new Fault.Kill(process));
-            }
-        }
-
         @Override public void started(long now) {
-            step(() -> {
+            post.step(() -> {
                 membership.started(now);
                 agreement.started(now);
                 actions.timer("work", WORK);
@@ -194,7 +139,7 @@
         }
 
         @Override public void received(long now, String from, byte[] message) {
-            step(() -> {
+            post.step(() -> {
                 if (Agreement.isOurs(message)) {
                     agreement.received(now, message);
                 } else {
@@ -205,10 +150,11 @@
         }
 
         @Override public void due(long now, String token) {
-            step(() -> {
-                if (token.startsWith("late")) {
-                    late.remove(token).run();
-                } else if (token.equals("work")) {
+            post.step(() -> {
+                if (post.due(token)) {
+                    return;
+                }
+                if (token.equals("work")) {
                     if (working) {
                         agreement.propose(now, (me + "#" + worked++).getBytes(StandardCharsets.UTF_8));
                     }
@@ -240,22 +186,7 @@
             byte[] datagram = mutated(whole);
             datagrams++;
             bytes += datagram.length;
-            Kind kind = next;
-            next = null;
-            if (standing) {
-                held.add(() -> actions.send(to, datagram));
-            } else if (kind == Kind.LATE) {
-                String token = "late" + late.size() + world.now();
-                late.put(token, () -> actions.send(to, datagram));
-                actions.timer(token, 5 * SECOND);
-            } else if (kind == Kind.ERROR) {
-                throw new UncheckedIOException(new IOException("the carrier can't"));
-            } else if (kind != Kind.LOST) {
-                actions.send(to, datagram);
-                if (kind == Kind.DOUBLED) {
-                    actions.send(to, datagram);
-                }
-            }
+            post.send(to, datagram);
         }
 
         private byte[] mutated(byte[] datagram) {
@@ -302,23 +233,7 @@
         }
 
         @Override public void point(Point point) {
-            int pass = passes.merge(point, 1, Integer::sum);
-            At at = armed.peek();
-            if (at == null || point != at.point() || pass != at.pass()) {
-                return;
-            }
-            armed.poll();
-            passes.clear();
-            sprung++;
-            switch (at.kind()) {
-                case CRASH -> throw new Crashed();
-                case RESTART -> {
-                    world.follow(new Plan(List.of(new Plan.Step(SECOND, new Fault.Restart(process)))));
-                    throw new Crashed();
-                }
-                case STAND -> standing = true;
-                default -> next = at.kind();
-            }
+            post.point(point);
         }
 
         /** A digest of all that was decided, in its order. */
--- a/src/test/java/yewyoke/fleet/member/VirtualFleet.java
+++ b/src/test/java/yewyoke/fleet/member/VirtualFleet.java
@@ -15,7 +15,7 @@
 import yewyoke.lab.virtual.World;
 
 /** Memberships as processes of the virtual world; addresses are names. */
-final class VirtualFleet {
+public final class VirtualFleet {
     static final long SECOND = 1_000_000;
     static final LinkFault LAN = new LinkFault(false, 200, 300, 0, 0);
 
@@ -49,7 +49,8 @@
         this.lives = new SplittableRandom(seed);
     }
 
-    static List<String> names(int count) {
+    /** Names of so many processes. */
+    public static List<String> names(int count) {
         List<String> names = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             names.add("m" + i);
--- a/src/test/java/yewyoke/fleet/work/VirtualWork.java
+++ b/src/test/java/yewyoke/fleet/work/VirtualWork.java
@@ -1,5 +1,7 @@
 package yewyoke.fleet.work;
 
+import static yewyoke.fleet.member.VirtualFleet.names;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Supplier;
+import yewyoke.fleet.PointFaults;
 import yewyoke.fleet.agree.AgreeSettings;
 import yewyoke.fleet.agree.Agreement;
 import yewyoke.fleet.agree.Life;
@@ -19,9 +22,7 @@
 import yewyoke.fleet.member.Event;
 import yewyoke.fleet.member.Membership;
 import yewyoke.fleet.member.Meta;
-import yewyoke.lab.fault.Fault;
 import yewyoke.lab.fault.LinkFault;
-import yewyoke.lab.fault.Plan;
 import yewyoke.lab.virtual.Core;
 import yewyoke.lab.virtual.World;
 
@@ -34,14 +35,13 @@
     static final long SECOND = 1_000_000;
     static final long LONGEST = 5 * SECOND;
     static final long ATTEMPT = 300_000;
-    private static final long STAND = 12 * SECOND;
     private static final long REQUESTS = 40_000;
     private static final LinkFault LAN = new LinkFault(false, 200, 300, 0, 0);
 
     final World world;
     final Map<String, Node> nodes = new LinkedHashMap<>();
     final List<String> broken = new ArrayList<>();
-    final Map<WorkPoint, Integer> passes = new TreeMap<>();
+    final PointFaults<WorkPoint> faults = new PointFaults<>();
     final List<String> upstreams = new ArrayList<>();
     final AgreeSettings council;
     /** Machines that are out, by the permit of the work that goes on there. */
@@ -52,7 +52,6 @@
     long attempts;
     long starved;
     int permits;
-    int sprung;
     Terms terms;
     /** Machines that fail by themselves, as all see. */
     final Set<String> failing = new TreeSet<>();
@@ -62,21 +61,6 @@
     private final Set<Token> told = new HashSet<>();
     private final Map<String, Long> outUntil = new HashMap<>();
     private Token greatest = new Token(0, 0);
-    private At armed;
-
-    /** What goes wrong at a point. */
-    enum Kind { CRASH, RESTART, STAND, LOST, DOUBLED, LATE }
-
-    /** A fault at the n-th pass of a point, whoever passes. */
-    record At(WorkPoint point, int pass, Kind kind) { }
-
-    private static final class Crashed extends RuntimeException {
-        private static final long serialVersionUID = 1L;
-
-        Crashed() {
-            super(null, null, false, false);
-        }
-    }
 
     VirtualWork(long seed, int members, int machines) {
         this.world = new World(seed, LAN);
@@ -87,14 +71,6 @@
         }
     }
 
-    static List<String> names(int count) {
-        List<String> names = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            names.add("m" + i);
-        }
-        return names;
-    }
-
     VirtualWork start(int members) {
         for (String name : names(members)) {
             world.add(name, (p, seed, actions) -> {
@@ -106,11 +82,6 @@
         return this;
     }
 
-    void arm(At at) {
-        armed = at;
-        passes.clear();
-    }
-
     void run(long micros) {
         world.run(world.now() + micros);
     }
@@ -161,17 +132,15 @@
         private final Membership membership;
         /** Attempts that this process has out, by upstream. */
         private final Map<String, Integer> inFlight = new TreeMap<>();
-        private Kind next;
-        private boolean standing;
+        private final PointFaults<WorkPoint>.Post post;
         private boolean changed = true;
         private boolean agrees;
-        private long lates;
-        private final Map<String, Runnable> late = new TreeMap<>();
         long now;
 
         Node(String process, long seed, Actions actions) {
             this.process = process;
             this.actions = actions;
+            this.post = faults.new Post(world, process, actions);
             // The end of its last life has reset what that had out.
             outUntil.keySet().removeIf(k -> k.startsWith(process + " "));
             this.me = new Life(process, random.nextLong(1, Long.MAX_VALUE));
@@ -184,7 +153,7 @@
 
         private void step(long at, Runnable what) {
             now = at;
-            try {
+            post.step(() -> {
                 what.run();
                 if (changed) {
                     changed = false;
@@ -200,14 +169,7 @@
                     agrees = false;
                     work.look(now);
                 }
-                if (standing) {
-                    standing = false;
-                    world.bring(new Fault.Pause(process));
-                    world.follow(new Plan(List.of(new Plan.Step(STAND, new Fault.Resume(process)))));
-                }
-            } catch (Crashed e) {
-                world.bring(new Fault.Kill(process));
-            }
+            });
         }
 
         @Override public void started(long at) {
@@ -251,8 +213,8 @@
                     actions.timer("request", REQUESTS);
                 } else if (token.startsWith("ended ")) {
                     inFlight.merge(token.substring(6), -1, Integer::sum);
-                } else if (token.startsWith("late ")) {
-                    late.remove(token).run();
+                } else if (post.due(token)) {
+                    return;
                 } else if (token.equals("beat")) {
                     agrees = true;
                     agreement.due(at, token);
@@ -287,18 +249,7 @@
         }
 
         @Override public void send(String to, byte[] datagram) {
-            Kind kind = next;
-            next = null;
-            if (kind == Kind.LATE) {
-                String token = "late " + lates++;
-                late.put(token, () -> actions.send(to, datagram));
-                actions.timer(token, 5 * SECOND);
-            } else if (kind != Kind.LOST) {
-                actions.send(to, datagram);
-                if (kind == Kind.DOUBLED) {
-                    actions.send(to, datagram);
-                }
-            }
+            post.send(to, datagram);
         }
 
         @Override public void timer(String token, long delay) {
@@ -376,20 +327,7 @@
         }
 
         @Override public void point(WorkPoint point) {
-            int pass = passes.merge(point, 1, Integer::sum);
-            if (armed == null || sprung > 0 || point != armed.point() || pass != armed.pass()) {
-                return;
-            }
-            sprung++;
-            switch (armed.kind()) {
-                case CRASH -> throw new Crashed();
-                case RESTART -> {
-                    world.follow(new Plan(List.of(new Plan.Step(SECOND, new Fault.Restart(process)))));
-                    throw new Crashed();
-                }
-                case STAND -> standing = true;
-                default -> next = armed.kind();
-            }
+            post.point(point);
         }
     }
 
--- a/src/test/java/yewyoke/fleet/work/WorkTest.java
+++ b/src/test/java/yewyoke/fleet/work/WorkTest.java
@@ -4,12 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static yewyoke.fleet.work.VirtualWork.SECOND;
-import static yewyoke.fleet.work.VirtualWork.names;
+import static yewyoke.fleet.member.VirtualFleet.names;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -19,6 +20,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import yewyoke.fleet.PointFaults.At;
+import yewyoke.fleet.PointFaults.Kind;
 import yewyoke.fleet.agree.Life;
 import yewyoke.fleet.agree.Token;
 import yewyoke.lab.fault.Fault;
@@ -90,17 +93,17 @@
     @ParameterizedTest
     @EnumSource(WorkPoint.class)
     void aFaultAtAnyPointBreaksNothing(WorkPoint point) {
-        for (VirtualWork.Kind kind : VirtualWork.Kind.values()) {
-            VirtualWork.At at = new VirtualWork.At(point, 1, kind);
+        for (Kind kind : EnumSet.complementOf(EnumSet.of(Kind.ERROR))) {
+            At<WorkPoint> at = new At<>(point, 1, kind);
             VirtualWork fleet = settled(3, 5, 4);
-            fleet.arm(at);
+            fleet.faults.arm(List.of(at));
             fleet.hand("m3", fleet.terms("patch", 4, 2));
             fleet.run(30 * SECOND);
             calm(fleet);
             fleet.run(40 * SECOND);
             assertEquals(List.of(), fleet.broken, at::toString);
             assertNull(fleet.unfinished(), at::toString);
-            assertEquals(1, fleet.sprung, at::toString);
+            assertEquals(1, fleet.faults.sprung, at::toString);
         }
     }
 
