--- a/src/main/java/yewyoke/command/Admin.java
+++ b/src/main/java/yewyoke/command/Admin.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -39,19 +40,24 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.NoMajority;
+import yewyoke.error.OperatorError.OldPermit;
+import yewyoke.error.OperatorError.PeerBusy;
+import yewyoke.error.OperatorError.UnknownMachine;
 import yewyoke.fleet.carrier.AgreeCarrier;
 import yewyoke.fleet.carrier.MemberCarrier;
 import yewyoke.node.Status;
 
 /**
  * For operators, over the loopback: the figures of one balancer ({@code /metrics}), what it holds of its
- * fleet ({@code /members}) and of what that agrees on ({@code /agreement}). It has a thread of its own; the
- * balancer pays for one event of its loop each time somebody reads. For one that is too busy for
+ * fleet ({@code /members}), of what that agrees on ({@code /agreement}) and of the work on machines
+ * ({@code /work}), which takes plans as well. It has a thread of its own; the balancer pays for one event of its loop each time somebody reads. For one that is too busy for
  * that within a second the answer is 503, which tells as much.
  */
 final class Admin implements AutoCloseable {
     private static final ObjectMapper JSON = JsonMapper.builder().build();
-    private static final int MAX_BODY = 1_024;
+    private static final int MAX_BODY = 256 * 1_024;
     private static final long PATIENCE_MS = 1_000;
     private static final Status NOTHING = new Status(false, 0, 0, 0, 0, 0, Map.of(), Map.of());
 
@@ -63,15 +69,18 @@
     private final MemberCarrier members;
     /** Null where no council is configured. */
     private final AgreeCarrier agreement;
+    /** Null with that. */
+    private final WorkDesk work;
     private final Channel listening;
     private volatile Status status = NOTHING;
 
     /** Answers at an address from now on; what is not configured is null. */
     Admin(InetSocketAddress listen, String process, Supplier<Future<Status>> balancer,
-            MemberCarrier members, AgreeCarrier agreement) {
+            MemberCarrier members, AgreeCarrier agreement, WorkDesk work) {
         this.balancer = balancer;
         this.members = members;
         this.agreement = agreement;
+        this.work = work;
         registry.config().commonTags("process", process);
         new JvmMemoryMetrics().bindTo(registry);
         new FileDescriptorMetrics().bindTo(registry);
@@ -123,20 +132,45 @@
     }
 
     /** What the event loop answered; null if it did not in time. */
-    private static <T> T got(Future<T> asked) {
+    static <T> T got(Future<T> asked) {
         return asked.awaitUninterruptibly(PATIENCE_MS) && asked.isSuccess() ? asked.getNow() : null;
     }
 
     private final class Reader extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request)
                 throws JsonProcessingException {
+            if (request.method().equals(HttpMethod.POST)) {
+                post(ctx, request);
+                return;
+            }
             switch (request.uri()) {
                 case "/metrics" -> answer(ctx, refresh() ? registry.scrape() : null,
                         "text/plain; version=0.0.4; charset=utf-8");
                 case "/members" -> look(ctx, members == null ? null : members::look, "no peers are");
                 case "/agreement" -> look(ctx, agreement == null ? null : agreement::look, "no council is");
+                case "/work" -> look(ctx, work == null ? null : work::look, "no council is");
                 default -> answer(ctx, HttpResponseStatus.NOT_FOUND,
-                        "try /metrics, /members or /agreement\n", "text/plain");
+                        "try /metrics, /members, /agreement or /work\n", "text/plain");
+            }
+        }
+
+        private void post(ChannelHandlerContext ctx, FullHttpRequest request) throws JsonProcessingException {
+            String uri = request.uri();
+            if (work == null || !uri.equals("/work") && !uri.startsWith("/work/")) {
+                answer(ctx, HttpResponseStatus.NOT_FOUND, work == null ? "no council is configured\n"
+                        : "only /work takes anything\n", "text/plain");
+                return;
+            }
+            try {
+                answer(ctx, HttpResponseStatus.ACCEPTED, work.post(uri.substring(
+                        Math.min(uri.length(), "/work/".length())),
+                        request.content().toString(StandardCharsets.UTF_8)), "application/json");
+            } catch (OperatorError e) {
+                answer(ctx, e instanceof UnknownMachine ? HttpResponseStatus.NOT_FOUND
+                        : e instanceof OldPermit ? HttpResponseStatus.CONFLICT
+                        : e instanceof NoMajority || e instanceof PeerBusy
+                        ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.BAD_REQUEST,
+                        e.getMessage() + "\n", "text/plain");
             }
         }
 
--- /dev/null
+++ b/src/main/java/yewyoke/command/Beside.java
@@ -0,0 +1,37 @@
+package yewyoke.command;
+
+import java.util.List;
+import java.util.Set;
+import yewyoke.fleet.carrier.Balancing;
+import yewyoke.fleet.carrier.WorkCarrier;
+import yewyoke.node.Running;
+import yewyoke.node.Sending;
+
+/** The balancer as the work on machines knows it: neither knows of the other. */
+record Beside(Sending sending) implements Balancing {
+    /** From now on the work on machines has a say on each attempt. */
+    static void restrain(Running balancer, WorkCarrier work) {
+        balancer.loop().execute(() -> balancer.sending().restrain(new Sending.Restraint() {
+            @Override public boolean maySend(String upstream) {
+                return work.maySend(upstream);
+            }
+
+            @Override public void ended(String upstream, boolean answered) {
+                work.ended(upstream, answered);
+            }
+        }));
+    }
+
+    @Override public int inFlight(String upstream) {
+        return sending.inFlight(upstream);
+    }
+
+    @Override public void setAside(Set<String> away, Set<String> cold) {
+        sending.setAside(away, cold);
+    }
+
+    @Override public List<Upstream> listed() {
+        return sending.listed().stream().map(u -> new Upstream(u.id(), u.zone(), u.kind(), u.cell(), u.ready()))
+                .toList();
+    }
+}
--- a/src/main/java/yewyoke/command/Main.java
+++ b/src/main/java/yewyoke/command/Main.java
@@ -6,17 +6,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import yewyoke.fleet.agree.AgreeSettings;
-import yewyoke.fleet.agree.Machine;
 import yewyoke.fleet.carrier.AgreeCarrier;
 import yewyoke.fleet.carrier.FleetConfig;
 import yewyoke.fleet.carrier.MemberCarrier;
 import yewyoke.fleet.carrier.PointFault;
+import yewyoke.fleet.carrier.WorkCarrier;
 import yewyoke.fleet.member.Meta;
 import yewyoke.fleet.member.Settings;
+import yewyoke.fleet.work.Agenda;
+import yewyoke.fleet.work.WorkSettings;
 import yewyoke.error.OperatorError;
 import yewyoke.error.OperatorError.BadFile;
 import yewyoke.error.OperatorError.NoFile;
@@ -75,6 +79,10 @@
     static final class Serve implements Callable<Integer> {
         /** A status that no command ends with: the balancer serves on threads of its own. */
         static final int GOES_ON = -1;
+        /** The longest deadline that counts, in microseconds. */
+        private static final long LONGEST_ATTEMPT = 3_000_000;
+        private static final long JOIN_NANOS = 2_000_000_000;
+        private static final long JOIN_STEP_NANOS = 20_000_000;
         @Option(names = "--config", paramLabel = "FILE", description = "our own configuration, as TOML")
         private Path file;
 
@@ -93,16 +101,35 @@
                     : AgreeSettings.of(own.fleet().name(), own.fleet().council());
             int status = yewyoke.node.Main.run(new String[] {"serve"}, config, System.err, balancer -> {
                 MemberCarrier members = fleet == null ? null : MemberCarrier.start(balancer.loop(), fleet);
-                AgreeCarrier agreement = council == null ? null : AgreeCarrier.start(members, council,
-                        Machine.OF_VIEWS, PointFault.of(System.getProperty(PointFault.PROPERTY)));
+                Consumer<Enum<?>> points = council == null ? null
+                        : PointFault.of(System.getProperty(PointFault.PROPERTY));
+                Agenda agenda = council == null ? null : new Agenda();
+                AgreeCarrier agreement = council == null ? null
+                        : AgreeCarrier.start(members, council, agenda, points);
+                WorkCarrier work = council == null ? null : WorkCarrier.start(agreement, agenda,
+                        WorkSettings.of(own.fleet().name(), LONGEST_ATTEMPT, 1_000_000
+                        * own.fleet().longestWorkS()), new Beside(balancer.sending()), points);
                 if (at != null) {
-                    Admin admin = new Admin(at, name, balancer.status(), members, agreement);
+                    Admin admin = new Admin(at, name, balancer.status(), members, agreement, work == null ? null
+                            : new WorkDesk(work, name, own.fleet().longestWorkS()));
                     LOG.log(System.Logger.Level.INFO, "operators are answered at " + admin.address());
                 }
+                if (work != null) {
+                    Beside.restrain(balancer, work);
+                    awaitFleet(work);
+                }
             });
             return status == 0 ? GOES_ON : status;
         }
 
+        /** Who serves before the fleet knows of him may send to a machine that is out; but he can't wait long. */
+        private static void awaitFleet(WorkCarrier work) {
+            long end = System.nanoTime() + JOIN_NANOS;
+            while (System.nanoTime() < end && !work.registered().syncUninterruptibly().getNow()) {
+                LockSupport.parkNanos(JOIN_STEP_NANOS);
+            }
+        }
+
         private FleetConfig fleet(Own.FleetPart part, String name) throws BadFile {
             String version = new Version().getVersion()[0];
             Meta meta = new Meta(part.zone() == null ? "" : part.zone(), version,
--- a/src/main/java/yewyoke/command/Own.java
+++ b/src/main/java/yewyoke/command/Own.java
@@ -23,6 +23,7 @@
 record Own(LogPart log, AdminPart admin, FleetPart fleet) {
     private static final int MOST_PORT = 65_535;
     private static final int LONGEST = 64;
+    private static final int DAY_S = 86_400;
     /** What holds where a file says nothing. */
     static final Own DEFAULTS = new Own(new LogPart(LogFormat.TEXT, LogLevel.INFO, Map.of()),
             new AdminPart(null), null);
@@ -50,11 +51,19 @@
      * @param process this one's name in it; left out, the name of the process as the log has it
      * @param via addresses to send to in place of those that members tell
      * @param council names of the processes that decide for all; without it nothing is agreed on
+     * @param longestWork seconds that the work on a machine takes at most
      */
     @JsonInclude(JsonInclude.Include.NON_NULL)
     record FleetPart(@JsonProperty(required = true) String name, String process,
             @JsonProperty(required = true) String listen, List<String> seeds, Map<String, String> via,
-            String zone, List<String> council) { }
+            String zone, List<String> council,
+            @JsonProperty("longest-work-s") Long longestWork) {
+        private static final long USUAL_WORK_S = 900;
+
+        long longestWorkS() {
+            return longestWork == null ? USUAL_WORK_S : longestWork;
+        }
+    }
 
     /** Reads and checks a file and fills in the defaults. */
     static Own read(Path file) throws OperatorError {
@@ -87,6 +96,7 @@
                 || !fleet.process().isBlank() && fleet.process().length() <= LONGEST);
         require(file, "fleet.zone", fleet.zone(), fleet.zone() == null || fleet.zone().length() <= LONGEST);
         address(file, "fleet.listen", fleet.listen());
+        TomlFile.range(file, "fleet.longest-work-s", fleet.longestWorkS(), 1, DAY_S);
         if (fleet.council() != null) {
             try {
                 AgreeSettings.of(fleet.name(), fleet.council());
--- /dev/null
+++ b/src/main/java/yewyoke/command/WorkDesk.java
@@ -0,0 +1,191 @@
+package yewyoke.command;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.netty.util.concurrent.Future;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import yewyoke.error.OperatorError;
+import yewyoke.error.OperatorError.BadPlan;
+import yewyoke.error.OperatorError.NoMajority;
+import yewyoke.error.OperatorError.OldPermit;
+import yewyoke.error.OperatorError.PeerBusy;
+import yewyoke.error.OperatorError.UnknownMachine;
+import yewyoke.fleet.agree.Token;
+import yewyoke.fleet.carrier.Balancing;
+import yewyoke.fleet.carrier.WorkCarrier;
+import yewyoke.fleet.work.Job;
+import yewyoke.fleet.work.Part;
+import yewyoke.fleet.work.State;
+import yewyoke.fleet.work.Step;
+import yewyoke.fleet.work.Terms;
+import yewyoke.toml.TomlFile;
+
+/**
+ * What operators and workers ask of the work on machines. All that is taken is to be decided yet: whoever asks
+ * sees in {@code /work} what became of it.
+ */
+final class WorkDesk {
+    private static final ObjectMapper JSON = JsonMapper.builder().build();
+    private static final Path PLAN = Path.of("plan");
+    private static final int LONGEST_NAME = 64;
+    private static final int MOST_MACHINES = 1_000;
+    private static final int WHOLE = 100;
+
+    private final WorkCarrier work;
+    private final String process;
+    private final long longestS;
+
+    /** A plan as operators write it; what is left out has the usual value. */
+    record PlanFile(@JsonProperty(required = true) String name, @JsonProperty("at-once") Integer atOnce,
+            @JsonProperty("per-zone") Integer perZone, Terms.Apart apart,
+            @JsonProperty("keep-percent") Integer keepPercent, Integer priority, String deadline,
+            @JsonProperty(value = "machine", required = true) List<MachinePart> machines) { }
+
+    /** One machine; {@code name} is the upstream's or the member's if it is left out. */
+    record MachinePart(String name, String upstream, String member,
+            @JsonProperty(required = true) Long seconds) { }
+
+    /** What is said of a machine, a plan or a process. */
+    record Word(String machine, String plan, String process, String why, Long epoch, Long index) { }
+
+    /** Takes what is asked for at a process; no work may take longer than {@code longestS} seconds. */
+    WorkDesk(WorkCarrier work, String process, long longestS) {
+        this.work = work;
+        this.process = process;
+        this.longestS = longestS;
+    }
+
+    /** What the process holds. */
+    Future<WorkCarrier.Look> look() {
+        return work.look();
+    }
+
+    /** Takes what was posted; says how many steps are to be decided. */
+    String post(String what, String body) throws OperatorError, JsonProcessingException {
+        List<Step> steps = switch (what) {
+            case "" -> plan(TomlFile.parse(PLAN, body, PlanFile.class));
+            case "done" -> done(word(body));
+            case "halt" -> List.of(Step.halt(String.valueOf(word(body).why())));
+            case "resume" -> List.of(Step.resume());
+            case "safe" -> List.of(Step.safe(onLoop(work::epoch)));
+            case "withdraw" -> List.of(Step.withdraw(named(word(body)), word(body).why()));
+            case "first" -> List.of(Step.first(named(word(body))));
+            case "ended" -> List.of(Step.ended(need("process", word(body).process())));
+            default -> throw new BadPlan("/work/" + what, "is none of done, halt, resume, safe, withdraw, first, "
+                    + "ended");
+        };
+        boolean taken = onLoop(() -> {
+            if (work.decides()) {
+                work.propose(steps);
+            }
+            return work.decides();
+        });
+        if (!taken) {
+            throw new NoMajority(process);
+        }
+        return JSON.writeValueAsString(Map.of("steps", steps.size()));
+    }
+
+    private static Word word(String body) throws OperatorError {
+        return TomlFile.parse(Path.of("body"), body, Word.class);
+    }
+
+    private static String named(Word word) throws BadPlan {
+        return need("machine or plan", word.machine() == null ? word.plan() : word.machine());
+    }
+
+    private static String need(String field, String value) throws BadPlan {
+        if (value == null || value.isBlank() || value.length() > LONGEST_NAME) {
+            throw new BadPlan(field, "is missing or too long");
+        }
+        return value;
+    }
+
+    private <T> T onLoop(Callable<T> what) throws PeerBusy {
+        T got = Admin.got(work.ask(what));
+        if (got == null) {
+            throw new PeerBusy(process, "the event loop is busy");
+        }
+        return got;
+    }
+
+    private List<Step> done(Word word) throws OperatorError {
+        String machine = need("machine", word.machine());
+        if (word.epoch() == null || word.index() == null) {
+            throw new BadPlan("epoch, index", "of the permit are missing");
+        }
+        Token permit = new Token(word.epoch(), word.index());
+        Job[] job = onLoop(() -> new Job[] {work.job(machine)});
+        if (job[0] == null) {
+            throw new UnknownMachine(machine, "has no work on the agenda");
+        }
+        if (!permit.equals(job[0].permit()) || job[0].state() != State.OUT && job[0].state() != State.OVERDUE) {
+            throw new OldPermit(machine, "is " + job[0].state() + " by " + job[0].permit());
+        }
+        return List.of(Step.done(machine, permit));
+    }
+
+    private List<Step> plan(PlanFile file) throws OperatorError {
+        need("name", file.name());
+        List<Balancing.Upstream> listed = onLoop(work::upstreams);
+        List<Part> parts = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (MachinePart m : file.machines()) {
+            Part part = part(m, listed);
+            if (!names.add(part.machine())) {
+                throw new BadPlan("machine", part.machine() + " is named twice");
+            }
+            parts.add(part);
+        }
+        int atOnce = or(file.atOnce(), 1);
+        int keep = or(file.keepPercent(), WHOLE / 2);
+        if (keep < 0 || keep > WHOLE || parts.size() > MOST_MACHINES) {
+            throw new BadPlan(parts.size() > MOST_MACHINES ? "machine" : "keep-percent",
+                    "is not within 0 and " + (parts.size() > MOST_MACHINES ? MOST_MACHINES : WHOLE));
+        }
+        Terms terms = new Terms(file.name(), parts.size(), atOnce, or(file.perZone(), atOnce),
+                file.apart() == null ? Terms.Apart.NOTHING : file.apart(), keep, listed.size(),
+                or(file.priority(), 0), deadline(file.deadline()));
+        if (terms.never() != null) {
+            throw new BadPlan(file.name(), terms.never());
+        }
+        return Step.plan(terms, parts);
+    }
+
+    private Part part(MachinePart m, List<Balancing.Upstream> listed) throws OperatorError {
+        String machine = need("machine", m.name() != null ? m.name() : m.upstream() != null ? m.upstream()
+                : m.member());
+        if (m.seconds() < 1 || m.seconds() > longestS) {
+            throw new BadPlan(machine + ".seconds", m.seconds() + " is not within 1 and " + longestS
+                    + " (fleet.longest-work-s)");
+        }
+        if (m.upstream() == null) {
+            return new Part(machine, null, need("member", m.member()), 0, 0, 0, m.seconds());
+        }
+        Balancing.Upstream its = listed.stream().filter(u -> u.id().equals(m.upstream())).findFirst()
+                .orElseThrow(() -> new UnknownMachine(m.upstream(), "is not on discovery's list"));
+        return new Part(machine, m.upstream(), m.member(), its.zone().hashCode(), its.kind().hashCode(),
+                its.cell(), m.seconds());
+    }
+
+    private static int or(Integer value, int otherwise) {
+        return value == null ? otherwise : value;
+    }
+
+    private static long deadline(String text) throws BadPlan {
+        try {
+            return text == null ? 0 : Instant.parse(text).toEpochMilli();
+        } catch (java.time.format.DateTimeParseException e) {
+            throw new BadPlan("deadline", text + " is not a time as 2026-12-02T06:00:00Z");
+        }
+    }
+}
--- a/src/main/java/yewyoke/error/OperatorError.java
+++ b/src/main/java/yewyoke/error/OperatorError.java
@@ -253,6 +253,66 @@
         }
     }
 
+    /** A plan of work can't be taken. */
+    public static final class BadPlan extends OperatorError {
+        /** Of all errors of this type. */
+        public static final String CODE = "Y501";
+        /** What an operator can do about them. */
+        public static final String REMEDY =
+                "mend that field and hand the plan in again; nothing of it was taken";
+        private static final long serialVersionUID = 1L;
+
+        /** Says what happened. */
+        public BadPlan(String field, String why) {
+            super(CODE, field + ": " + why, REMEDY, null);
+        }
+    }
+
+    /** Nothing is known of a machine that an operator or a worker names. */
+    public static final class UnknownMachine extends OperatorError {
+        /** Of all errors of this type. */
+        public static final String CODE = "Y502";
+        /** What an operator can do about them. */
+        public static final String REMEDY = "look at GET /work and at discovery's list for its name";
+        private static final long serialVersionUID = 1L;
+
+        /** Says what happened. */
+        public UnknownMachine(String machine, String why) {
+            super(CODE, machine + ": " + why, REMEDY, null);
+        }
+    }
+
+    /** A report is not about the work that is going on. */
+    public static final class OldPermit extends OperatorError {
+        /** Of all errors of this type. */
+        public static final String CODE = "Y503";
+        /** What an operator can do about them. */
+        public static final String REMEDY =
+                "look at GET /work for the permit that holds; the agenda goes by that alone";
+        private static final long serialVersionUID = 1L;
+
+        /** Says what happened. */
+        public OldPermit(String machine, String why) {
+            super(CODE, machine + ": " + why, REMEDY, null);
+        }
+    }
+
+    /** Nothing can be decided where it was asked. */
+    public static final class NoMajority extends OperatorError {
+        /** Of all errors of this type. */
+        public static final String CODE = "Y504";
+        /** What an operator can do about them. */
+        public static final String REMEDY =
+                "ask a process on the other side of the cut, or wait until the council is "
+                + "together again";
+        private static final long serialVersionUID = 1L;
+
+        /** Says what happened. */
+        public NoMajority(String process) {
+            super(CODE, process + " hears no majority of the council", REMEDY, null);
+        }
+    }
+
     /** Nobody has foreseen this. */
     public static final class Unexpected extends OperatorError {
         /** Of all errors of this type. */
--- a/src/main/java/yewyoke/fleet/agree/Machine.java
+++ b/src/main/java/yewyoke/fleet/agree/Machine.java
@@ -5,19 +5,6 @@
  * nothing else, neither a clock nor chance.
  */
 public interface Machine {
-    /** Where the members are all that is agreed on. */
-    Machine OF_VIEWS = new Machine() {
-        @Override public void apply(Token token, Life by, byte[] command) { }
-
-        @Override public void view(View view) { }
-
-        @Override public byte[] snapshot() {
-            return new byte[0];
-        }
-
-        @Override public void restore(byte[] snapshot) { }
-    };
-
     /** A command has been decided; {@code token} is greater than that of any decided before. */
     void apply(Token token, Life by, byte[] command);
 
--- a/src/main/java/yewyoke/fleet/carrier/AgreeCarrier.java
+++ b/src/main/java/yewyoke/fleet/carrier/AgreeCarrier.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import yewyoke.fleet.agree.AgreeSettings;
 import yewyoke.fleet.agree.Agreement;
 import yewyoke.fleet.agree.Life;
@@ -19,6 +20,7 @@
 import yewyoke.fleet.agree.Term;
 import yewyoke.fleet.agree.View;
 import yewyoke.fleet.member.Claim;
+import yewyoke.fleet.work.Work;
 
 /**
  * A process's agreement, over the datagrams and on the event loop of its membership: what is seen there is
@@ -29,11 +31,13 @@
 
     private final MemberCarrier members;
     private final EventLoop loop;
-    private final Consumer<Point> points;
+    private final Consumer<? super Point> points;
     private final Life me;
     private final Agreement agreement;
     private final Map<String, String> addresses = new TreeMap<>();
     private boolean lookDue;
+    /** What is built upon the agreement; null if nothing is. */
+    private WorkCarrier guest;
 
     /**
      * What a process holds of its fleet's agreement.
@@ -47,7 +51,7 @@
             int waiting, Map<String, Long> refused) { }
 
     private AgreeCarrier(MemberCarrier members, AgreeSettings settings, Machine machine,
-            Consumer<Point> points) {
+            Consumer<? super Point> points) {
         this.members = members;
         this.loop = members.loop();
         this.points = points;
@@ -58,7 +62,7 @@
 
     /** Takes part from now on. {@code points} hears of each point of fault that is passed; for the lab. */
     public static AgreeCarrier start(MemberCarrier members, AgreeSettings settings, Machine machine,
-            Consumer<Point> points) {
+            Consumer<? super Point> points) {
         AgreeCarrier carrier = new AgreeCarrier(members, settings, machine, points);
         carrier.loop.submit(() -> {
             members.host(carrier);
@@ -78,13 +82,55 @@
                 agreement.applied(), agreement.waiting(), agreement.refused());
     }
 
-    private long now() {
+    long now() {
         return members.now();
     }
 
-    /** A datagram has come that is meant for an agreement. */
+    EventLoop loop() {
+        return loop;
+    }
+
+    Life me() {
+        return me;
+    }
+
+    Agreement core() {
+        return agreement;
+    }
+
+    /** Has the work on machines hear its datagrams and what the agreement does; on the event loop. */
+    void host(WorkCarrier work) {
+        guest = work;
+        lookAround();
+    }
+
+    private void after() {
+        if (guest != null) {
+            guest.look(now());
+        }
+    }
+
+    /** Whether a datagram is meant for an agreement, or for what is built upon it. */
+    boolean takes(byte[] datagram) {
+        return Agreement.isOurs(datagram) || guest != null && Work.isOurs(datagram);
+    }
+
+    /** A datagram has come that is. */
     void received(byte[] datagram) {
-        agreement.received(now(), datagram);
+        if (Agreement.isOurs(datagram)) {
+            agreement.received(now(), datagram);
+            after();
+        } else {
+            guest.received(datagram);
+        }
+    }
+
+    /** Sends to a process, if it is there. */
+    void sendIfThere(String name, byte[] datagram) {
+        String address = addresses.get(name);
+        if (address != null) {
+            members.send(address, datagram);
+        }
     }
 
     /** Something has changed in the picture; looked at once, when the membership is done with it. */
@@ -106,6 +152,11 @@
             }
         }
         agreement.present(now(), there);
+        if (guest != null) {
+            guest.present(there.entrySet().stream().map(l -> new Life(l.getKey(), l.getValue()))
+                    .collect(Collectors.toSet()));
+            after();
+        }
     }
 
     @Override public void send(String name, byte[] datagram) {
@@ -117,7 +168,10 @@
     }
 
     @Override public void timer(String token, long delay) {
-        loop.schedule(() -> agreement.due(now(), token), delay, TimeUnit.MICROSECONDS);
+        loop.schedule(() -> {
+            agreement.due(now(), token);
+            after();
+        }, delay, TimeUnit.MICROSECONDS);
     }
 
     @Override public long wall() {
--- a/src/main/java/yewyoke/fleet/carrier/MemberCarrier.java
+++ b/src/main/java/yewyoke/fleet/carrier/MemberCarrier.java
@@ -22,7 +22,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import yewyoke.fleet.agree.Agreement;
 import yewyoke.fleet.member.Claim;
 import yewyoke.fleet.member.Event;
 import yewyoke.fleet.member.Membership;
@@ -169,7 +168,7 @@
                 return;
             }
             byte[] datagram = ByteBufUtil.getBytes(packet.content());
-            if (guest != null && Agreement.isOurs(datagram)) {
+            if (guest != null && guest.takes(datagram)) {
                 guest.received(datagram);
             } else {
                 membership.received(now(), NetUtil.toSocketAddressString(packet.sender()), datagram);
--- a/src/main/java/yewyoke/fleet/carrier/PointFault.java
+++ b/src/main/java/yewyoke/fleet/carrier/PointFault.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
-import yewyoke.fleet.agree.Point;
 
 /**
  * A fault at a point, in a process of the lab: {@code POINT:pass:CRASH:who:file} ends the process there as a
@@ -17,7 +16,7 @@
  * told the same but for who they are; the first one that comes there makes the file, which names it, and the
  * fault is its own.
  */
-public final class PointFault implements Consumer<Point> {
+public final class PointFault implements Consumer<Enum<?>> {
     /** The property that only the lab sets. */
     public static final String PROPERTY = "yewyoke.lab.fault";
     /** Longer than any timer of membership or agreement. */
@@ -27,13 +26,13 @@
 
     private enum Kind { CRASH, STAND }
 
-    private final Point point;
+    private final String point;
     private final Kind kind;
     private final String who;
     private final Path file;
     private int left;
 
-    private PointFault(Point point, int pass, Kind kind, String who, Path file) {
+    private PointFault(String point, int pass, Kind kind, String who, Path file) {
         this.point = point;
         this.left = pass;
         this.kind = kind;
@@ -42,7 +41,7 @@
     }
 
     /** Reads the property; without one nothing ever happens. */
-    public static Consumer<Point> of(String property) {
+    public static Consumer<Enum<?>> of(String property) {
         if (property == null) {
             return p -> { };
         }
@@ -50,12 +49,12 @@
         if (parts.length < PARTS) {
             throw new IllegalArgumentException(PROPERTY + " is not POINT:pass:KIND:who:file: " + property);
         }
-        return new PointFault(Point.valueOf(parts[0]), Integer.parseInt(parts[1]), Kind.valueOf(parts[2]),
+        return new PointFault(parts[0], Integer.parseInt(parts[1]), Kind.valueOf(parts[2]),
                 parts[3], Path.of(parts[4]));
     }
 
-    @Override public void accept(Point passed) {
-        if (passed != point || left == 0 || --left > 0) {
+    @Override public void accept(Enum<?> passed) {
+        if (!passed.name().equals(point) || left == 0 || --left > 0) {
             return;
         }
         try {
--- /dev/null
+++ b/src/main/java/yewyoke/fleet/carrier/WorkCarrier.java
@@ -0,0 +1,252 @@
+package yewyoke.fleet.carrier;
+
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import yewyoke.fleet.agree.Agreement;
+import yewyoke.fleet.agree.Life;
+import yewyoke.fleet.agree.Token;
+import yewyoke.fleet.work.Agenda;
+import yewyoke.fleet.work.Job;
+import yewyoke.fleet.work.Step;
+import yewyoke.fleet.work.Work;
+import yewyoke.fleet.work.WorkPoint;
+import yewyoke.fleet.work.WorkSettings;
+
+/**
+ * A process's part in the work on machines, beside its agreement: on the same event loop, by the same
+ * datagrams. It sees how upstreams do by what becomes of this process's own attempts.
+ */
+public final class WorkCarrier implements Work.Out {
+    private static final System.Logger LOG = System.getLogger(WorkCarrier.class.getName());
+    /** An upstream that has not served so many attempts in a row fails. */
+    private static final int FAILS = 5;
+    /** So many attempts, or so long, are enough to judge one that is back. */
+    private static final int ENOUGH = 20;
+    private static final long LONG_ENOUGH = 10_000_000;
+    private static final int FEWEST = 5;
+    private static final double BAD = 0.5;
+
+    private final AgreeCarrier agreement;
+    private final Agenda agenda;
+    private final Work work;
+    private final Balancing balancing;
+    private final Consumer<? super WorkPoint> points;
+    private final Map<String, Integer> notServed = new HashMap<>();
+    private final Map<String, Tally> tallies = new HashMap<>();
+    private Set<String> away = Set.of();
+
+    /** How an upstream does that is back. */
+    private static final class Tally {
+        final long since;
+        int served;
+        int failed;
+
+        Tally(long since) {
+            this.since = since;
+        }
+    }
+
+    /** A job as operators see it; {@code waits} says for what, null if for nothing. */
+    public record Seen(String machine, String plan, String state, Token permit, long until, boolean reserved,
+            String waits, String why) { }
+
+    /** What a process holds of the work on machines. */
+    public record Look(List<Seen> jobs, String halted, boolean safe, boolean leave, boolean registered,
+            List<String> gone, Map<String, String> refusals, Map<String, Long> refused) { }
+
+    private WorkCarrier(AgreeCarrier agreement, Agreement core, Agenda agenda, WorkSettings settings,
+            Balancing balancing, Consumer<? super WorkPoint> points) {
+        this.agreement = agreement;
+        this.agenda = agenda;
+        this.balancing = balancing;
+        this.points = points;
+        this.work = new Work(settings, agreement.me(), core, agenda, this);
+    }
+
+    /** Takes part from now on; {@code agenda} is what the agreement feeds. */
+    public static WorkCarrier start(AgreeCarrier agreement, Agenda agenda, WorkSettings settings,
+            Balancing balancing, Consumer<? super WorkPoint> points) {
+        return agreement.loop().submit(() -> {
+            WorkCarrier carrier = new WorkCarrier(agreement, agreement.core(), agenda, settings, balancing,
+                    points);
+            agreement.host(carrier);
+            carrier.work.started(carrier.now());
+            return carrier;
+        }).syncUninterruptibly().getNow();
+    }
+
+    private long now() {
+        return agreement.now();
+    }
+
+    // ---- For the balancer, on the loop -----------------------------------------------------------------
+
+    /** Whether an attempt may begin now. */
+    public boolean maySend(String upstream) {
+        return work.maySend(now(), upstream);
+    }
+
+    /** An attempt is over. */
+    public void ended(String upstream, boolean served) {
+        if (served) {
+            notServed.remove(upstream);
+        } else {
+            notServed.merge(upstream, 1, Integer::sum);
+        }
+        Tally tally = tallies.get(upstream);
+        if (tally != null) {
+            tally.served += served ? 1 : 0;
+            tally.failed += served ? 0 : 1;
+        }
+    }
+
+    // ---- For operators ---------------------------------------------------------------------------------
+
+    /** Has something done on the loop. */
+    public <T> Future<T> ask(Callable<T> what) {
+        return agreement.loop().submit(what);
+    }
+
+    /** Whether the fleet knows of this process. */
+    public Future<Boolean> registered() {
+        return agreement.loop().submit(work::registered);
+    }
+
+    /** What it holds, as of soon. */
+    public Future<Look> look() {
+        return agreement.loop().submit(() -> {
+            List<Seen> jobs = new ArrayList<>();
+            for (Job job : agenda.jobs()) {
+                jobs.add(new Seen(job.machine(), job.plan(), job.state().name(), job.permit(), job.until(),
+                        job.reserved(), work.waits(now(), job), job.why()));
+            }
+            return new Look(jobs, agenda.halted(), agenda.isSafe(), work.hasLeave(now()), work.registered(),
+                    agenda.gone().stream().map(Life::toString).toList(), agenda.refusals(), work.refused());
+        });
+    }
+
+    /** The epoch of the view; on the loop. */
+    public long epoch() {
+        return agreement.core().view().epoch();
+    }
+
+    /** Whether a majority stands behind what is heard here; on the loop. */
+    public boolean decides() {
+        return agreement.core().decides(now());
+    }
+
+    /** The last job of a machine, null if it has none; on the loop. */
+    public Job job(String machine) {
+        return agenda.job(machine);
+    }
+
+    /** All upstreams; on the loop. */
+    public List<Balancing.Upstream> upstreams() {
+        return balancing.listed();
+    }
+
+    /** Has steps decided, in this order; on the loop. */
+    public void propose(List<Step> steps) {
+        steps.forEach(s -> work.propose(now(), s));
+    }
+
+    // ---- From the agreement, on the loop ---------------------------------------------------------------
+
+    void received(byte[] datagram) {
+        work.received(now(), datagram);
+    }
+
+    void present(Set<Life> lives) {
+        work.present(lives);
+    }
+
+    /** The agreement has been at work. */
+    void look(long now) {
+        work.look(now);
+    }
+
+    // ---- What the core asks for ------------------------------------------------------------------------
+
+    @Override public void send(String name, byte[] datagram) {
+        agreement.sendIfThere(name, datagram);
+    }
+
+    @Override public void timer(String token, long delay) {
+        agreement.loop().schedule(() -> work.due(now(), token), delay, TimeUnit.MICROSECONDS);
+    }
+
+    @Override public long wallMillis() {
+        return System.currentTimeMillis();
+    }
+
+    @Override public int inFlight(String upstream) {
+        return balancing.inFlight(upstream);
+    }
+
+    @Override public void aside(Set<String> upstreams) {
+        Set<String> cold = new HashSet<>(away);
+        cold.removeAll(upstreams);
+        cold.retainAll(tallies.keySet());
+        away = Set.copyOf(upstreams);
+        balancing.setAside(away, cold);
+    }
+
+    @Override public List<String> failing() {
+        Set<String> failing = new HashSet<>();
+        balancing.listed().stream().filter(u -> !u.ready()).forEach(u -> failing.add(u.id()));
+        notServed.forEach((upstream, times) -> {
+            if (times >= FAILS) {
+                failing.add(upstream);
+            }
+        });
+        return failing.stream().sorted().limit(Agenda.MOST_FAILING).toList();
+    }
+
+    @Override public boolean judged(String upstream) {
+        Tally tally = tallies.get(upstream);
+        return tally != null && (tally.served + tally.failed >= ENOUGH || now() - tally.since >= LONG_ENOUGH);
+    }
+
+    @Override public String worse(String upstream) {
+        Tally tally = tallies.get(upstream);
+        int all = tally.served + tally.failed;
+        return all >= FEWEST && tally.failed > BAD * all
+                ? tally.failed + " of " + all + " attempts failed" : null;
+    }
+
+    @Override public void moved(Job job) {
+        String upstream = job.part().upstream();
+        if (upstream != null) {
+            switch (job.state()) {
+                case WARMING -> tallies.put(upstream, new Tally(now()));
+                case DRAINING, OUT, IN, FAILED -> {
+                    tallies.remove(upstream);
+                    notServed.remove(upstream);
+                }
+                default -> { }
+            }
+        }
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("machine", job.machine());
+        fields.put("plan", job.plan());
+        fields.put("state", job.state());
+        if (job.permit() != null) {
+            fields.put("permit", job.permit().epoch() + "." + job.permit().index());
+        }
+        LOG.log(System.Logger.Level.INFO, "machine " + job.machine() + " " + job.state()
+                + (job.why() == null ? "" : ": " + job.why()), fields);
+    }
+
+    @Override public void point(WorkPoint point) {
+        points.accept(point);
+    }
+}
--- a/src/main/java/yewyoke/fleet/work/Agenda.java
+++ b/src/main/java/yewyoke/fleet/work/Agenda.java
@@ -25,6 +25,8 @@
     /** Jobs that are over are remembered up to so many. */
     private static final int REMEMBERED = 256;
     private static final int REFUSALS = 64;
+    /** Failing upstreams that are told with a step; more than that, and no plan allows anything. */
+    public static final int MOST_FAILING = 16;
 
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Plan> plans = new LinkedHashMap<>();
--- a/src/main/java/yewyoke/fleet/work/Work.java
+++ b/src/main/java/yewyoke/fleet/work/Work.java
@@ -65,7 +65,7 @@
         /** Attempts that this process has out at an upstream. */
         int inFlight(String upstream);
 
-        /** The upstreams that this process is to keep away from, as far as the agenda says. */
+        /** The upstreams that this process is to keep away from. */
         void aside(Set<String> upstreams);
 
         /** Upstreams that fail by themselves, as far as this process sees. */
@@ -155,7 +155,7 @@
             leaves.clear();
         }
         notice();
-        keepAway();
+        keepAway(now);
         say(now);
         if (led && agreement.decides(now)) {
             lead(now);
@@ -228,16 +228,17 @@
         }
     }
 
-    private void keepAway() {
-        Set<String> now = new TreeSet<>();
+    private void keepAway(long now) {
+        Set<String> away = new TreeSet<>();
         for (Job job : agenda.jobs()) {
-            if (job.state().aside() && job.part().upstream() != null) {
-                now.add(job.part().upstream());
+            String upstream = job.part().upstream();
+            if (upstream != null && !job.state().over() && !maySend(now, upstream)) {
+                away.add(upstream);
             }
         }
-        if (!now.equals(aside)) {
-            aside = now;
-            out.aside(now);
+        if (!away.equals(aside)) {
+            aside = away;
+            out.aside(away);
         }
     }
 
@@ -268,16 +269,32 @@
         }
     }
 
-    /** Proposes once, and again when that has had no effect for long. */
-    private void propose(long now, Command command) {
-        byte[] bytes = command.write();
-        String key = command.kind() + " " + command.name() + " " + command.token();
+    /**
+     * Has a step decided that somebody wants. One that is asked for again and again goes into the log once in
+     * a while: steps are decided one after the other, and those of this process wait behind it.
+     */
+    public void propose(long now, Step step) {
+        if (isNew(now, new String(step.bytes(), StandardCharsets.UTF_8))) {
+            agreement.propose(now, step.bytes());
+        }
+    }
+
+    private boolean isNew(long now, String key) {
         Long before = proposed.get(key);
         if (before != null && now - before < AGAIN) {
-            return;
+            return false;
         }
         proposed.values().removeIf(t -> now - t >= AGAIN);
         proposed.put(key, now);
+        return true;
+    }
+
+    /** Proposes once, and again when that has had no effect for long. */
+    private void propose(long now, Command command) {
+        byte[] bytes = command.write();
+        if (!isNew(now, command.kind() + " " + command.name() + " " + command.token())) {
+            return;
+        }
         switch (command.kind()) {
             case ORDER -> out.point(WorkPoint.ORDERING);
             case CLEAR -> out.point(WorkPoint.CLEARING);
--- a/src/main/java/yewyoke/lab/check/Checker.java
+++ b/src/main/java/yewyoke/lab/check/Checker.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import yewyoke.lab.check.Violation.Kind;
 
 /**
@@ -21,6 +23,7 @@
     private final Rules rules;
     private final Map<String, Life> lives = new HashMap<>();
     private final Map<String, Upstream> upstreams = new HashMap<>();
+    private final Set<String> out = new HashSet<>();
     private final List<Violation> violations = new ArrayList<>();
 
     /** Checks against these figures. */
@@ -113,6 +116,15 @@
         upstreams.get(upstream).toldToLeave.putIfAbsent(balancer, now);
     }
 
+    /** Work on an upstream's machine begins, or has ended. */
+    public void out(String upstream, boolean begins) {
+        if (begins) {
+            out.add(upstream);
+        } else {
+            out.remove(upstream);
+        }
+    }
+
     /** The first byte of an attempt has come to an upstream. */
     public void attempt(long now, String balancer, String upstream, String id, double work) {
         Upstream up = upstreams.get(upstream);
@@ -121,6 +133,9 @@
             broken(Kind.AFTER_DRAIN, now, id, "sent by " + balancer + " to " + upstream + " "
                     + (now - told) / 1_000 + " ms after it was told");
         }
+        if (out.contains(upstream)) {
+            broken(Kind.OUT, now, id, "sent by " + balancer + " to " + upstream + ", on which work goes on");
+        }
         Life life = lives.get(id);
         if (life == null) {
             broken(Kind.FOREIGN, now, id, "came to " + upstream + ", but no client sent it");
--- a/src/main/java/yewyoke/lab/play/Fleet.java
+++ b/src/main/java/yewyoke/lab/play/Fleet.java
@@ -291,6 +291,11 @@
         }
     }
 
+    /** Work on an upstream's machine begins, or has ended: nobody may send there meanwhile. */
+    public void out(String upstream, boolean begins) {
+        loop.submit(() -> checker.out(upstream, begins)).syncUninterruptibly();
+    }
+
     private void kill(String balancer) throws InterruptedException {
         loop.submit(() -> front.dies(balancer)).syncUninterruptibly();
         balancers.get(balancer).kill();
--- a/src/main/java/yewyoke/node/ClientServer.java
+++ b/src/main/java/yewyoke/node/ClientServer.java
@@ -111,6 +111,11 @@
         return loop.submit(driver::status);
     }
 
+    /** Its sending to upstreams, for use on its event loop. */
+    Sending sending() {
+        return driver;
+    }
+
     SocketAddress address() {
         return listening.localAddress();
     }
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -17,9 +17,12 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balance;
 import yewyoke.Balancer;
@@ -35,7 +38,7 @@
  * Owns the decision module and does for it on sockets what the simulator did: clock, timers, attempts and
  * their ends. Everything happens on the one event loop.
  */
-final class Driver implements Balancer.Actions {
+final class Driver implements Balancer.Actions, Sending {
     static final String TIME_LEFT = "X-Time-Left-Ms";
     private static final System.Logger LOG = System.getLogger(Driver.class.getName());
     private static final String LOAD = "/load";
@@ -59,6 +62,13 @@
     private final PriorityQueue<Long> timersDue = new PriorityQueue<>();
     private final long epochMicros = System.currentTimeMillis() * 1_000;
     private final long origin = System.nanoTime();
+    /** What discovery told last, by id. */
+    private final Map<String, ServerList.Entry> listed = new LinkedHashMap<>();
+    /** Upstreams that were out and have come back, with when, in Unix milliseconds. */
+    private final Map<String, Long> returned = new HashMap<>();
+    private Set<String> aside = Set.of();
+    /** Null unless a part beside the balancer has a say. */
+    private Restraint restraint;
     private Discovery discovery;
     private boolean inEvent;
     private boolean ready;
@@ -181,13 +191,65 @@
 
     // ---- From discovery ------------------------------------------------------------------------------
 
-    void list(ListKind kind, ServerList list) {
-        upstreams.apply(list);
+    void list(ListKind kind, ServerList told) {
+        if (told.full()) {
+            listed.clear();
+        }
+        for (ServerList.Entry e : told.entries()) {
+            if (e.state() == Balancer.State.GONE) {
+                listed.remove(e.id());
+                returned.remove(e.id());
+            } else {
+                listed.put(e.id(), e);
+            }
+        }
         ready |= kind == ListKind.COMPLETE || kind == ListKind.CHANGES;
+        apply(kind, aside.isEmpty() && returned.isEmpty() ? told : new ServerList(told.version(), told.full(),
+                told.entries().stream().map(this::seen).toList()));
+    }
+
+    /** Discovery's word goes first: what drains there drains, and a later start is the one that counts. */
+    private ServerList.Entry seen(ServerList.Entry e) {
+        boolean away = e.state() == Balancer.State.READY && aside.contains(e.id());
+        return new ServerList.Entry(e.id(), e.addr(), e.zone(), e.kind(), e.cell(),
+                away ? Balancer.State.DRAINING : e.state(), e.weight(),
+                Math.max(e.startedMs(), returned.getOrDefault(e.id(), 0L)));
+    }
+
+    private void apply(ListKind kind, ServerList list) {
+        upstreams.apply(list);
         event(() -> balancer.upstreams(now(), kind,
                 list.entries().stream().map(e -> e.toModule(facts)).toList()));
     }
 
+    // ---- For parts beside the balancer -----------------------------------------------------------------
+
+    @Override public void restrain(Restraint by) {
+        restraint = by;
+    }
+
+    @Override public void setAside(Set<String> away, Set<String> cold) {
+        Set<String> changed = new HashSet<>(aside);
+        changed.addAll(away);
+        changed.removeIf(id -> aside.contains(id) && away.contains(id) || !listed.containsKey(id));
+        aside = Set.copyOf(away);
+        cold.forEach(id -> returned.put(id, now() / 1_000));
+        if (!changed.isEmpty()) {
+            apply(ListKind.CHANGES, new ServerList(0, false,
+                    changed.stream().sorted().map(id -> seen(listed.get(id))).toList()));
+        }
+    }
+
+    @Override public int inFlight(String upstream) {
+        return (int) open.values().stream().flatMap(o -> o.attempts.stream())
+                .filter(a -> !a.ended && a.upstream.equals(upstream)).count();
+    }
+
+    @Override public List<Listed> listed() {
+        return listed.values().stream().map(e -> new Listed(e.id(), e.zone(), e.kind(), e.cell(),
+                e.state() == Balancer.State.READY)).toList();
+    }
+
     void listUnavailable() {
         event(() -> balancer.upstreams(now(), ListKind.UNAVAILABLE, List.of()));
     }
@@ -274,7 +336,8 @@
         long now = now();
         Open o = open.get(id);
         if (o == null || o.concluded || o.attempts.size() >= limits.maxAttempts() || o.deadline <= now
-                || o.outstanding() && !limits.secondCopies()) {
+                || o.outstanding() && !limits.secondCopies()
+                || restraint != null && !restraint.maySend(upstream)) {
             int attempt = o == null ? 0 : o.attempts.size();
             if (o != null) {
                 Attempt never = new Attempt(upstream, now);
@@ -325,6 +388,9 @@
             o.concluded = true;
             o.client.served(answer.content().retain());
         }
+        if (restraint != null) {
+            restraint.ended(attempt.upstream, outcome == Outcome.OK);
+        }
         LoadReport load = answer == null ? null : load(answer.headers().get("X-Backend-Load"));
         forgetIfDone(o);
         long took = now() - attempt.sentAt;
--- a/src/main/java/yewyoke/node/Main.java
+++ b/src/main/java/yewyoke/node/Main.java
@@ -68,7 +68,7 @@
         return run(args, config, err, balancer -> { });
     }
 
-    /** The same; {@code serving} gets the balancer once it serves. */
+    /** The same; {@code serving} gets the balancer when all is there, and may keep it from opening a while. */
     public static int run(String[] args, String config, PrintStream err,
             Consumer<Running> serving) {
         if (args.length == 1 && args[0].equals("adapter")) {
@@ -102,8 +102,8 @@
             if (!few) {
                 listen(server, found);
             }
+            serving.accept(new Running(group.next(), server::status, server.sending()));
             server.open();
-            serving.accept(new Running(group.next(), server::status));
             if (rehearse) {
                 group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
                 return served > 0 ? 0 : 1;
--- /dev/null
+++ b/src/main/java/yewyoke/node/Sending.java
@@ -0,0 +1,31 @@
+package yewyoke.node;
+
+import java.util.List;
+import java.util.Set;
+
+/** What a part beside the balancer may know of its sending, and say of it; on its event loop alone. */
+public interface Sending {
+    /** Who has a say on each attempt. */
+    interface Restraint {
+        /** Whether an attempt may begin now. */
+        boolean maySend(String upstream);
+
+        /** An attempt is over; {@code answered} if it was served. */
+        void ended(String upstream, boolean answered);
+    }
+
+    /** An upstream as discovery told it last. */
+    record Listed(String id, String zone, String kind, int cell, boolean ready) { }
+
+    /** From now on each attempt is asked for. */
+    void restrain(Restraint restraint);
+
+    /** Upstreams that count as draining, in place of those before; {@code cold} ones have come back. */
+    void setAside(Set<String> away, Set<String> cold);
+
+    /** Attempts that are out. */
+    int inFlight(String upstream);
+
+    /** All upstreams. */
+    List<Listed> listed();
+}
--- a/src/main/java/yewyoke/toml/TomlFile.java
+++ b/src/main/java/yewyoke/toml/TomlFile.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.charset.MalformedInputException;
@@ -27,6 +28,13 @@
             .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
             .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS).build();
 
+    private static final JsonMapper JSON = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+            .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+            .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS).build();
+
     private TomlFile() { }
 
     /** Reads a whole file as one record. */
@@ -41,8 +49,13 @@
         } catch (IOException e) {
             throw new NoFile(file, "can't be read: " + e);
         }
+        return parse(file, text, type);
+    }
+
+    /** Reads a text as one record, as JSON if it begins as that does; {@code file} names it in errors. */
+    public static <T> T parse(Path file, String text, Class<T> type) throws BadFile {
         try {
-            return TOML.readValue(text, type);
+            return (text.stripLeading().startsWith("{") ? JSON : TOML).readValue(text, type);
         } catch (JsonMappingException e) {
             throw new BadFile(file, lineOf(text, e.getPath()), e.getPath().stream().map(r ->
                     r.getFieldName() == null ? "[" + r.getIndex() + "]" : r.getFieldName())
--- a/src/test/java/yewyoke/fleet/work/VirtualWork.java
+++ b/src/test/java/yewyoke/fleet/work/VirtualWork.java
@@ -172,6 +172,8 @@
         Node(String process, long seed, Actions actions) {
             this.process = process;
             this.actions = actions;
+            // The end of its last life has reset what that had out.
+            outUntil.keySet().removeIf(k -> k.startsWith(process + " "));
             this.me = new Life(process, random.nextLong(1, Long.MAX_VALUE));
             this.membership = new Membership(yewyoke.fleet.member.Settings.of("dhaka"), process, me.life(), 0,
                     process, Meta.NONE, names(3), seed, this);
--- a/src/test/java/yewyoke/fleet/work/WorkTest.java
+++ b/src/test/java/yewyoke/fleet/work/WorkTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import yewyoke.fleet.agree.Life;
+import yewyoke.fleet.agree.Token;
 import yewyoke.lab.fault.Fault;
 import yewyoke.lab.fault.LinkFault;
 import yewyoke.lab.fault.Plan;
@@ -230,6 +231,22 @@
         assertNull(fleet.unfinished());
     }
 
+    /** A worker that reports without a pause keeps nothing waiting: what it says is decided once in a while. */
+    @Test
+    void whoReportsAgainAndAgainKeepsNothingWaiting() {
+        VirtualWork fleet = settled(7, 5, 4);
+        fleet.hand("m1", fleet.terms("patch", 4, 1));
+        VirtualWork.Node node = fleet.nodes.get("m1");
+        long until = fleet.world.now() + 20 * SECOND;
+        while (fleet.world.now() < until) {
+            fleet.run(2_000);
+            node.work.propose(node.now, Step.done("u0", new Token(1, 1)));
+        }
+        fleet.run(2 * SECOND);
+        assertNull(fleet.unfinished());
+        assertTrue(node.agenda.ignored() < 40, () -> node.agenda.ignored() + " steps without effect");
+    }
+
     /** Seven in ten are killed in the midst of it; what those know who live goes on, and nothing twice. */
     @Test
     void whenMostAreKilledAtOnceNothingIsGrantedTwiceAndItGoesOn() {
--- a/src/test/java/yewyoke/lab/check/CheckerTest.java
+++ b/src/test/java/yewyoke/lab/check/CheckerTest.java
@@ -54,6 +54,12 @@
                     checker.toldToLeave(8 * SECOND, "b", "u");
                     attempt(wrong ? 10 * SECOND + 1 : 10 * SECOND);
                 }
+                case OUT -> {
+                    sent(Repeat.FREE);
+                    checker.out("u", true);
+                    checker.out("u", wrong);
+                    attempt(9 * SECOND);
+                }
                 case COLD_OVERRUN -> {
                     sent(Repeat.FREE);
                     // Bears 2.5 times 0.3 of 2 cores for a second just after its start.
