Begin attempts only for clients that are there, and end connections in order

Cause, by reading and by tests on sockets: a read ended before the close behind a request was seen, and the request, a list and a new connection each let attempts begin in the middle of the reads of a turn; behind eight pipelined requests a connection was read no further, so its end went unseen; a pipelined request's time counted from its turn; the first answer of a stop, or of many connections, closed over the requests behind it; a close over unread bytes reset the connection (Linux drops what is unsent then); each answer of a client that reads none was held; a read could hold over 128 requests, at which the codec gives up. An attempt was told the time left at its decision, not at its first byte, and a repeat could begin after the time for repeats when its connection came up late.

--- a/src/main/java/yewyoke/node/Discovery.java
+++ b/src/main/java/yewyoke/node/Discovery.java
@@ -124,7 +124,7 @@
         }
         if (asked) {
             if (watching || !call.told) {
-                driver.listUnavailable();
+                loop.execute(driver::listUnavailable);
             }
         } else if (watching && wanted) {
             long wait = pause / 2 + ThreadLocalRandom.current().nextLong(pause);
@@ -189,7 +189,8 @@
             }
             told = true;
             version = list.version();
-            driver.list(list.full() ? ListKind.COMPLETE : ListKind.CHANGES, list);
+            // Not before all is read that has come: clients that have left get nothing sent for them.
+            loop.execute(() -> driver.list(list.full() ? ListKind.COMPLETE : ListKind.CHANGES, list));
         }
 
         private void broken(String why) {
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -32,6 +32,7 @@
 import yewyoke.Balancer.LoadReport;
 import yewyoke.Balancer.Outcome;
 import yewyoke.Balancer.Request;
+import yewyoke.Balancer.RequestClass;
 import yewyoke.settings.SettingsReader;
 
 /**
@@ -91,6 +92,9 @@
         void refused(long retryAfter);
 
         void failed();
+
+        /** Whether it still waits for the answer; its event that it has left may come later. */
+        boolean isConnected();
     }
 
     /** One request from its arrival until it is answered and all its attempts have ended. */
@@ -117,6 +121,7 @@
 
     /** One attempt; {@code exchange} is null if it never started. */
     private static final class Attempt {
+        boolean mayHaveRun = true;
         final String upstream;
         final long sentAt;
         Upstreams.Exchange exchange;
@@ -161,7 +166,7 @@
     }
 
     /** Unix time in microseconds that never steps: the module's clock, and what its start times are in. */
-    private long now() {
+    long now() {
         return epochMicros + (System.nanoTime() - origin) / 1_000;
     }
 
@@ -266,6 +271,11 @@
         return due == null ? 0 : Math.max(0, now() - due);
     }
 
+    /** When a request that is read now has come, at the earliest. */
+    long arrival() {
+        return now() - unread();
+    }
+
     boolean isOpen(String id) {
         return open.containsKey(id);
     }
@@ -289,12 +299,16 @@
     void gone(String id) {
         Open o = open.get(id);
         if (o != null && !o.concluded) {
-            counts.left++;
-            conclude(o);
+            concludeLeft(o);
             event(() -> balancer.clientGone(now(), id));
         }
     }
 
+    private void concludeLeft(Open o) {
+        counts.left++;
+        conclude(o);
+    }
+
     /** At the deadline: ends what is out, and answers if the module, told of that, does not. */
     private void overdue(Open o) {
         for (int i = 0; i < o.attempts.size(); i++) {
@@ -335,36 +349,71 @@
     @Override public void send(String id, String upstream, long timeout) {
         long now = now();
         Open o = open.get(id);
+        if (o != null && !o.concluded && !o.client.isConnected()) {
+            concludeLeft(o);
+        }
         if (o == null || o.concluded || o.attempts.size() >= limits.maxAttempts() || o.deadline <= now
                 || o.outstanding() && !limits.secondCopies()
                 || restraint != null && !restraint.maySend(upstream)) {
-            int attempt = o == null ? 0 : o.attempts.size();
-            if (o != null) {
-                Attempt never = new Attempt(upstream, now);
-                never.ended = true;
-                o.attempts.add(never);
-            }
-            event(() -> balancer.outcome(now(), new AttemptEnd(id, attempt, upstream, Outcome.MOOT, 0,
-                    o == null || o.concluded, null)));
+            neverSent(o, id, upstream);
             return;
         }
         int number = o.attempts.size();
         Attempt attempt = new Attempt(upstream, now);
         o.attempts.add(attempt);
-        long left = timeout == 0 ? o.deadline - now : Math.max(0, Math.min(timeout, o.deadline - now));
-        attempt.exchange = upstreams.start(upstream, forward(o.message, left),
+        long ends = timeout == 0 ? o.deadline : Math.min(now + Math.max(0, timeout), o.deadline);
+        FullHttpRequest message = forward(o.message);
+        attempt.exchange = upstreams.start(upstream, message, () -> mayBegin(o, number, message, ends),
                 (outcome, answer) -> ended(o, number, outcome, answer));
-        if (now + left < o.deadline) {
-            attempt.timeout = loop.schedule(() -> giveUp(o, number, Outcome.TIMEOUT), left,
+        if (ends < o.deadline) {
+            attempt.timeout = loop.schedule(() -> giveUp(o, number, Outcome.TIMEOUT), ends - now,
                     TimeUnit.MICROSECONDS);
         }
     }
 
+    private void neverSent(Open o, String id, String upstream) {
+        int attempt = o == null ? 0 : o.attempts.size();
+        if (o != null) {
+            Attempt never = new Attempt(upstream, now());
+            never.ended = true;
+            never.mayHaveRun = false;
+            o.attempts.add(never);
+        }
+        event(() -> balancer.outcome(now(), new AttemptEnd(id, attempt, upstream, Outcome.MOOT, 0,
+                o == null || o.concluded, null)));
+    }
+
+    /**
+     * Asked when an attempt has its connection, which takes as long as the settings allow: whether it may
+     * still begin. If so, its upstream is told the time that is left now.
+     */
+    private boolean mayBegin(Open o, int number, FullHttpRequest message, long ends) {
+        long now = now();
+        if (!o.concluded && !o.client.isConnected()) {
+            concludeLeft(o);
+            event(() -> balancer.clientGone(now(), o.request.id()));
+        }
+        if (o.concluded || now >= ends || now >= repeatableUntil(o, number)) {
+            return false;
+        }
+        message.headers().set(TIME_LEFT, (ends - now) / 1_000);
+        return true;
+    }
+
+    /** Until when this attempt may begin, as a repeat of an earlier one that may have run. */
+    private long repeatableUntil(Open o, int number) {
+        RequestClass requestClass = facts.settings().classes().get(o.request.classIndex());
+        if (requestClass.effect() != Balancer.Effect.KEYED) {
+            return Long.MAX_VALUE;
+        }
+        return o.attempts.subList(0, number).stream().filter(a -> a.mayHaveRun)
+                .mapToLong(a -> a.sentAt + requestClass.memorySpan()).findFirst().orElse(Long.MAX_VALUE);
+    }
+
     /** A client's wish for its own connection is none for ours: passed on, it would cost one each time. */
-    private static FullHttpRequest forward(FullHttpRequest message, long left) {
+    private static FullHttpRequest forward(FullHttpRequest message) {
         FullHttpRequest copy = message.retainedDuplicate();
         HOP_BY_HOP.forEach(copy.headers()::remove);
-        copy.headers().set(TIME_LEFT, left / 1_000);
         return copy;
     }
 
@@ -379,6 +428,7 @@
     private void ended(Open o, int number, Outcome outcome, FullHttpResponse answer) {
         Attempt attempt = o.attempts.get(number);
         attempt.ended = true;
+        attempt.mayHaveRun = !outcome.neverRan;
         counts.attemptEnded(outcome);
         if (attempt.timeout != null) {
             attempt.timeout.cancel(false);
@@ -432,7 +482,7 @@
                 Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, host);
         ScheduledFuture<?>[] timeout = new ScheduledFuture<?>[1];
-        Upstreams.Exchange exchange = upstreams.start(upstream, request, (outcome, answer) -> {
+        Upstreams.Exchange exchange = upstreams.start(upstream, request, () -> true, (outcome, answer) -> {
             timeout[0].cancel(false);
             LoadReport load = outcome != Outcome.OK ? null
                     : load(answer.content().toString(StandardCharsets.US_ASCII));
--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import yewyoke.Balancer.Outcome;
 import yewyoke.Balancer.State;
 
@@ -149,11 +150,12 @@
     }
 
     /**
-     * Starts an exchange; takes over the request. The listener is never called from within this call, so that
-     * the caller has the exchange in hand before its end.
+     * Starts an exchange; takes over the request. {@code mayBegin} is asked when it has its connection, right
+     * before it is written. The listener is never called from within this call, so that the caller has
+     * the exchange in hand before its end.
      */
-    Exchange start(String id, FullHttpRequest request, Listener listener) {
-        Exchange exchange = new Exchange(request, listener);
+    Exchange start(String id, FullHttpRequest request, BooleanSupplier mayBegin, Listener listener) {
+        Exchange exchange = new Exchange(request, mayBegin, listener);
         Server server = servers.get(id);
         if (server == null || !server.ready) {
             loop.execute(() -> exchange.end(Outcome.CONNECT_FAILED, null));
@@ -202,33 +204,46 @@
         ChannelFuture connecting = bootstrap.connect(transport.address(addr));
         exchange.channel = connecting.channel();
         connecting.channel().closeFuture().addListener(f -> connections--);
-        connecting.addListener(f -> {
-            // The list may have changed meanwhile: nothing new goes to an upstream that drains or has moved.
-            if (!f.isSuccess() || exchange.ended || !server.ready || !server.addr.equals(addr)) {
-                connecting.channel().close();
-                exchange.end(Outcome.CONNECT_FAILED, null);
-                return;
-            }
-            Connection connection = new Connection(server, addr, connecting.channel());
-            connection.channel.pipeline().addLast(connection);
-            exchange.write(connection);
-        });
+        // Not before the next turn has read all that has come meanwhile: its client may have left.
+        connecting.addListener(f -> loop.schedule(() -> connected(server, addr, exchange, connecting),
+                0, TimeUnit.MILLISECONDS));
+    }
+
+    private void connected(Server server, InetSocketAddress addr, Exchange exchange,
+            ChannelFuture connecting) {
+        // The list may have changed meanwhile: nothing new goes to an upstream that drains or has moved.
+        if (!connecting.isSuccess() || exchange.ended || !server.ready || !server.addr.equals(addr)) {
+            connecting.channel().close();
+            exchange.end(Outcome.CONNECT_FAILED, null);
+            return;
+        }
+        Connection connection = new Connection(server, connecting.channel());
+        connection.channel.pipeline().addLast(connection);
+        exchange.write(connection);
     }
 
     /** One request on its way to an upstream, up to its one end. */
     final class Exchange {
+        private final BooleanSupplier mayBegin;
         private final Listener listener;
         private FullHttpRequest request;
         private Channel channel;
         private boolean written;
         private boolean ended;
 
-        private Exchange(FullHttpRequest request, Listener listener) {
+        private Exchange(FullHttpRequest request, BooleanSupplier mayBegin, Listener listener) {
             this.request = request;
+            this.mayBegin = mayBegin;
             this.listener = listener;
         }
 
         private void write(Connection connection) {
+            if (!mayBegin.getAsBoolean()) {
+                channel = null;
+                connection.keep();
+                loop.execute(() -> end(Outcome.MOOT, null));
+                return;
+            }
             channel = connection.channel;
             connection.current = this;
             channel.pipeline().get(AnswerDecoder.class).expect();
@@ -283,9 +298,9 @@
         private Exchange current;
         private long idleSince;
 
-        Connection(Server server, InetSocketAddress addr, Channel channel) {
+        Connection(Server server, Channel channel) {
             this.server = server;
-            this.addr = addr;
+            this.addr = server.addr;
             this.channel = channel;
         }
 
@@ -310,8 +325,16 @@
         }
 
         private void keepOrClose(Exchange exchange, FullHttpResponse answer) {
-            if (exchange.written && HttpUtil.isKeepAlive(answer) && server.ready && channel.isActive()
-                    && server.addr.equals(addr)) {
+            if (exchange.written && HttpUtil.isKeepAlive(answer)) {
+                keep();
+            } else {
+                channel.close();
+            }
+        }
+
+        /** Keeps the connection for the next request, unless it leads to a process that is no more. */
+        private void keep() {
+            if (server.ready && channel.isActive() && server.addr.equals(addr)) {
                 idleSince = System.nanoTime();
                 server.idle.push(this);
             } else {
--- /dev/null
+++ b/src/test/java/yewyoke/node/AttemptTimingTest.java
@@ -0,0 +1,92 @@
+package yewyoke.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import yewyoke.node.Sockets.Client;
+import yewyoke.node.Sockets.Message;
+import yewyoke.node.Sockets.Server;
+
+/** What changes between the decision for an attempt and its first byte: time, its client, its upstream. */
+class AttemptTimingTest extends NodeFixture {
+    private static final long STAND_MS = 700;
+    private static final long PAST_MEMORY_MS = 2_100;
+
+    /** Stops the loop while a connection for an attempt comes up, for longer than some limits allow. */
+    private void standStillWhileConnecting(Server upstream, Client client, String request) throws Exception {
+        StandStill still = standStillBehindDecisionFor(upstream);
+        client.write(request);
+        still.await();
+        spend(STAND_MS);
+        still.goOn();
+    }
+
+    /** Time is what is at stake here: it passes while the loop stands still, and nothing waits for it. */
+    private static void spend(long millis) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() < end) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** It was told what was left at the decision, and worked on when its client had gone. */
+    @Test
+    void anAttemptTellsTheTimeThatIsLeftWhenItBegins() throws Exception {
+        Server upstream = server(SERVE);
+        connectTimeout = "5";
+        start(upstream);
+        Client client = client();
+        standStillWhileConnecting(upstream, client, request("POST", "submit", "9000", ""));
+        assertEquals(200, client.read().status());
+        long left = Long.parseLong(Sockets.next(upstream.requests).headers().get("x-time-left-ms"));
+        assertTrue(left <= 9_000 - STAND_MS, () -> "told that " + left + " ms are left");
+    }
+
+    /** In time when decided, a repeat came to its upstream when that no longer knew the first one. */
+    @Test
+    void aRepeatWhoseConnectionComesUpTooLateIsNotBegun() throws Exception {
+        CountDownLatch decided = new CountDownLatch(1);
+        Server first = server((m, s) -> {
+            decided.await();
+            Sockets.answer(s, "500 Oops", "", "");
+        });
+        Server second = server(SERVE);
+        memorySpan = "2";
+        connectTimeout = "5";
+        start(first);
+        Client client = client().write(request("POST", "revise", "9000", "Idempotency-Key: k\r\n"));
+        Sockets.next(first.requests);
+        // From here on the second alone takes requests.
+        String firstId = "s-" + first.addr();
+        String secondId = "s-" + second.addr();
+        tellChanges(entry(firstId, first.addr(), "Terminating"), entry(secondId, second.addr(), "Ready"));
+        StandStill still = standStillBehindDecisionFor(second);
+        decided.countDown();
+        still.await();
+        spend(PAST_MEMORY_MS);
+        still.goOn();
+        Message answer = client.read();
+        assertTrue(answer.status() >= 500, answer.start());
+        assertEquals(0, second.requests.size());
+    }
+
+    /** Its client left while the connection came up, and both were read in the same turn. */
+    @Test
+    void anAttemptWhoseClientLeftWhileItsConnectionCameUpIsNotBegun() throws Exception {
+        Server upstream = server(SERVE);
+        connectTimeout = "5";
+        start(upstream);
+        Client leaver = client();
+        StandStill still = standStillBehindDecisionFor(upstream);
+        leaver.write(request("GET", "look", "9000", ""));
+        still.await();
+        leaver.close();
+        still.goOn();
+        assertEquals(200, client().write(request("GET", "look", "9000", "")).read().status());
+        assertEquals("id-1", Sockets.next(upstream.requests).headers().get("x-correlation-id"));
+        assertEquals(0, upstream.requests.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/node/ClientSessionTest.java
@@ -0,0 +1,225 @@
+package yewyoke.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.util.concurrent.Future;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import yewyoke.node.Sockets.Client;
+import yewyoke.node.Sockets.Message;
+import yewyoke.node.Sockets.Server;
+
+/** A client's close, its pipelined requests and our own close, each in the worst order. */
+class ClientSessionTest extends NodeFixture {
+    private static final String FOR_EVER = "600000";
+    private static final int MANY = 600;
+    private static final int TURNS = 5;
+    private static final int SMALL_BUFFER = 4_096;
+
+    private String look(String left) {
+        return request("GET", "look", left, "");
+    }
+
+    /** Both are in the socket when it is read: the request was begun before the end behind it was seen. */
+    @Test
+    void aRequestWithItsClientsEndBehindItIsNeverBegun() throws Exception {
+        Server upstream = server(SERVE);
+        start(upstream);
+        assertEquals(200, client().write(look(FOR_EVER)).read().status());
+        Client leaver = client();
+        Client other = client();
+        whileStandingStill(() -> {
+            leaver.write(look(FOR_EVER));
+            leaver.close();
+            other.write(look(FOR_EVER));
+        });
+        assertEquals(200, other.read().status());
+        assertEquals(2, attempts());
+        assertEquals("id-0", Sockets.next(upstream.requests).headers().get("x-correlation-id"));
+        assertEquals("id-2", Sockets.next(upstream.requests).headers().get("x-correlation-id"));
+    }
+
+    /** Attempts that have ended; one that was never begun is none. */
+    private long attempts() throws Exception {
+        Map<String, Long> byOutcome = node.status().get().attempts();
+        return byOutcome.values().stream().mapToLong(n -> n).sum() - byOutcome.get("moot");
+    }
+
+    /** A new list lets held requests go; the end of one's connection is read in the same turn, behind it. */
+    @Test
+    void aHeldRequestIsNotBegunWhenItsClientsEndIsReadInTheTurnOfTheList() throws Exception {
+        Server upstream = server(SERVE);
+        CountDownLatch told = new CountDownLatch(1);
+        CountDownLatch written = new CountDownLatch(1);
+        Server discovery = server((m, s) -> {
+            Sockets.beginChunks(s);
+            told.await();
+            Sockets.chunk(s, ready(upstream));
+            written.countDown();
+        });
+        start(list(0, true), discovery);
+        Client leaver = client().write(look(FOR_EVER));
+        Sockets.next(discovery.requests);
+        while (node.status().get().open() == 0) {
+            Thread.onSpinWait();
+        }
+        Client other = client();
+        whileStandingStill(() -> {
+            told.countDown();
+            written.await(); // so the client's end comes behind the list
+            leaver.close();
+            other.write(look(FOR_EVER));
+        });
+        assertEquals(200, other.read().status());
+        assertEquals(1, attempts());
+        assertEquals("id-1", Sockets.next(upstream.requests).headers().get("x-correlation-id"));
+    }
+
+    /** With eight requests waiting the connection was read no further, and its end went unseen. */
+    @Test
+    void theEndOfAClientIsSeenBehindManyPipelinedRequests() throws Exception {
+        Server upstream = server(HANG);
+        start(upstream);
+        Client client = client();
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < 30; i++) {
+            many.append(look(FOR_EVER));
+        }
+        client.write(many.toString());
+        Sockets.next(upstream.requests);
+        client.close();
+        assertEquals(0, Sockets.next(upstream.ended), "the attempt is given up");
+        assertEquals(0, upstream.requests.size());
+    }
+
+    /** Its time counted from its turn: it was sent on when its client no longer waited. */
+    @Test
+    void aPipelinedRequestsTimeCountsWhileItWaits() throws Exception {
+        Server upstream = server(HANG);
+        start(upstream);
+        Client client = client().write(request("POST", "submit", "500", "") + look("400"));
+        assertTrue(client.read().status() >= 500);
+        assertTrue(client.read().status() >= 500);
+        assertEquals("id-0", Sockets.next(upstream.requests).headers().get("x-correlation-id"));
+        assertEquals(0, upstream.requests.size());
+    }
+
+    /** The first answer of a planned stop closed the connection over the requests behind it. */
+    @Test
+    void aPlannedStopAnswersPipelinedRequestsBeforeItEndsTheirConnection() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Server upstream = server((m, s) -> {
+            go.await();
+            SERVE.on(m, s);
+        });
+        start(upstream);
+        Client client = client().write(look(FOR_EVER) + look(FOR_EVER) + look(FOR_EVER));
+        Sockets.next(upstream.requests);
+        Client idle = client();
+        Future<Void> drained = node.drain(1, 600_000);
+        assertNull(idle.read(), "closed between requests");
+        go.countDown();
+        for (int i = 0; i < 3; i++) {
+            Message answer = client.read();
+            assertEquals(200, answer.status());
+            assertEquals(i == 2 ? "close" : null, answer.headers().get("connection"));
+        }
+        assertNull(client.read());
+        assertTrue(drained.await(Sockets.PATIENCE_S, TimeUnit.SECONDS));
+    }
+
+    /** Closed with bytes unread, a connection is reset, and of an answer its client got what it had read. */
+    @Test
+    void anAnswerArrivesWholeThoughItsConnectionEndsOverUnreadBytes() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        String large = "x".repeat(60_000);
+        Server upstream = server((m, s) -> {
+            go.await();
+            Sockets.answer(s, "200 OK", "", large);
+        });
+        start(upstream);
+        try (Socket slow = new Socket()) {
+            slow.setReceiveBufferSize(SMALL_BUFFER);
+            slow.connect(node.address());
+            StringBuilder many = new StringBuilder(request("GET", "look", FOR_EVER, "Connection: close\r\n"));
+            for (int i = 0; i < MANY; i++) {
+                many.append(look(FOR_EVER));
+            }
+            slow.getOutputStream().write(many.toString().getBytes(StandardCharsets.UTF_8));
+            Sockets.next(upstream.requests);
+            go.countDown();
+            awaitIdle();
+            slow.setSoTimeout(Sockets.PATIENCE_S * 1_000);
+            Message answer = Sockets.read(slow.getInputStream());
+            assertEquals(large.length(), answer.body().length());
+            assertEquals(-1, slow.getInputStream().read(), "an orderly end");
+        }
+    }
+
+    /** What is read after our end is neither sent on nor answered; its client sends it again elsewhere. */
+    @Test
+    void aRequestThatCrossesWithOurEndIsNotSentOn() throws Exception {
+        Server upstream = server(SERVE);
+        start(upstream);
+        Client client = client();
+        assertEquals(200, client.write(look(FOR_EVER)).read().status());
+        Sockets.next(upstream.requests);
+        awaitIdle();
+        StandStill still = standStillBeforeDrain();
+        client.write(look(FOR_EVER));
+        still.goOn();
+        assertNull(client.read());
+        assertEquals(0, upstream.requests.size());
+    }
+
+    private void awaitIdle() throws Exception {
+        while (node.status().get().open() > 0) {
+            Thread.onSpinWait();
+        }
+        // The session is idle a task after its answer, and a socket is closed a turn after its channel.
+        for (int i = 0; i < TURNS; i++) {
+            group.next().submit(() -> { }).get();
+        }
+    }
+
+    /** The node held every answer of a client that reads none. */
+    @Test
+    void aClientThatReadsNoAnswersIsGivenNoMoreOfThemUntilItDoes() throws Exception {
+        String large = "x".repeat(60_000);
+        Server upstream = server((m, s) -> Sockets.answer(s, "200 OK", "", large));
+        start(upstream);
+        Client lazy = client();
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < MANY; i++) {
+            many.append(look(FOR_EVER));
+        }
+        Thread writer = new Thread(() -> {
+            try {
+                lazy.write(many.toString());
+            } catch (java.io.IOException e) {
+                // the test sees what is missing
+            }
+        });
+        writer.start();
+        Client other = client();
+        int before;
+        do {
+            before = upstream.requests.size();
+            for (int i = 0; i < 20; i++) {
+                assertEquals(200, other.write(look(FOR_EVER)).read().status());
+            }
+        } while (before == 0 || upstream.requests.size() - before > 20);
+        int begun = upstream.requests.size();
+        assertTrue(begun < MANY, () -> begun + " requests were begun");
+        for (int i = 0; i < MANY; i++) {
+            assertEquals(200, lazy.read().status());
+        }
+        writer.join();
+    }
+}
--- a/src/test/java/yewyoke/node/NodeTest.java
+++ b/src/test/java/yewyoke/node/NodeTest.java
@@ -7,27 +7,19 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -39,103 +31,8 @@
 import yewyoke.node.Sockets.Server;
 
 /** The balancer between real sockets: each test is one way for it to lose, repeat or misplace a request. */
-class NodeTest {
-    private static final Script SERVE = (m, s) -> Sockets.answer(s, "200 OK", "", "done");
+class NodeTest extends NodeFixture {
     private static final long STAND_MS = 600;
-    private static final Script HANG = (m, s) -> { };
-
-    @TempDir Path folder;
-    private final List<AutoCloseable> started = new ArrayList<>();
-    private EventLoopGroup group;
-    private int sockets = 1024;
-    private String idle = "10";
-    private String reports = "silent";
-    private int balancers = 1;
-    private ClientServer node;
-    private int sent;
-
-    @BeforeEach
-    void begin() {
-        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    }
-
-    @AfterEach
-    void end() throws Exception {
-        for (AutoCloseable c : started) {
-            c.close();
-        }
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-    }
-
-    private Server server(Script script) throws IOException {
-        Server server = new Server(script);
-        started.add(server);
-        return server;
-    }
-
-    private Client client() throws IOException {
-        Client client = new Client(node.address());
-        started.add(client);
-        return client;
-    }
-
-    private static String entry(String id, String addr, String state) {
-        return "{\"id\":\"" + id + "\",\"addr\":\"" + addr + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":0,"
-                + "\"new\":[],\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}";
-    }
-
-    private static String list(int version, boolean full, String... entries) {
-        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
-                + String.join(",", entries) + "]}";
-    }
-
-    private static String ready(Server... upstreams) {
-        return list(41, true, Arrays.stream(upstreams).map(u -> entry("s-" + u.addr(), u.addr(), "Ready"))
-                .toArray(String[]::new));
-    }
-
-    private static String serviceClass(String name, String repeat) {
-        return "{\"name\":\"" + name + "\",\"repeat\":\"" + repeat + "\",\"dedup-scope\":\"zone\","
-                + "\"memory-span-s\":10,\"aim-s\":1,\"give-up-s\":20,\"worth\":1,\"late-worth\":0.5}";
-    }
-
-    /** Starts a balancer that knows a list and follows discovery. */
-    private void start(String known, Server discovery) throws Exception {
-        node = Main.serve(config(known, discovery), group.next(), Transport.TCP);
-        node.open();
-    }
-
-    private Config config(String known, Server discovery) throws Exception {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
-                + discovery.addr() + "\",\"seed\":\"8c1f30d27a5be964\","
-                + "\"limits\":{\"cores\":1.0,\"sockets\":" + sockets + "},"
-                + "\"known\":" + known + ",\"settings\":{\"az\":0,\"localities\":[\"z\"],\"kinds\":[\"k\"],"
-                + "\"classes\":[" + serviceClass("submit", "single_shot") + ","
-                + serviceClass("revise", "guarded") + "," + serviceClass("look", "free") + "],"
-                + "\"parties\":[{\"name\":\"acme\",\"share\":1}],\"group-size\":" + balancers + ","
-                + "\"ceilings\":{\"try-limit\":4,\"cancel\":true,\"probes\":true,\"max-open\":100,"
-                + "\"connect-timeout-s\":0.25,\"conn-idle-s\":"
-                + idle + "},\"rules\":{\"answer-slack-s\":0.02,\"drain-grace-s\":2,\"cold-s\":9,"
-                + "\"start-capacity\":0.2,\"fall-multiple\":3,\"fall-s\":1},\"report\":{\"names\":[\"cpu\"],"
-                + "\"via\":\"" + reports + "\"},\"prices\":{},\"tick-s\":0.005,\"discovery\":\"pushed\"}}");
-        return Config.read(file);
-    }
-
-    private void start(Server... upstreams) throws Exception {
-        start(ready(upstreams), server(HANG));
-    }
-
-    private String request(String method, String cls, String left, String more) {
-        return method + " /" + cls + "?key=k1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: id-" + sent++
-                + "\r\nX-Service-Class: " + cls + "\r\nX-Account: acme\r\nX-Time-Left-Ms: " + left + "\r\n"
-                + more + "Content-Length: " + (method.equals("GET") ? 0 : 3) + "\r\n\r\n"
-                + (method.equals("GET") ? "" : "bid");
-    }
-
-    private String submit() {
-        return request("POST", "submit", "9000", "");
-    }
 
     // ---- Serving ---------------------------------------------------------------------------------------
 
@@ -574,15 +471,6 @@
         awaitServedBy(three);
     }
 
-    private void awaitServedBy(Server upstream) throws Exception {
-        Client client = client();
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Sockets.PATIENCE_S);
-        while (upstream.requests.isEmpty()) {
-            assertTrue(System.nanoTime() < end, "the list has not arrived");
-            assertEquals(200, client.write(submit()).read().status());
-        }
-    }
-
     /** One that says nothing may be cut off, and what it had to tell would be unheard past the grace. */
     @Test
     void silentWatchAndEndedWatchAreOpenedAgainFromTheVersionKnown() throws Exception {
