Keep no connection to the process before an upstream's restart

Cause: a list that tells a new start closed the idle connections, but one whose answer was under way then was kept when the answer came, and the next request on it ended as a reset, after which it may have run. Change: a connection knows the start that it was opened to. Result: AttemptTimingTest.aConnectionToTheProcessBeforeARestartIsNotKept failed before.

--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -294,6 +294,7 @@
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final Server server;
         private final InetSocketAddress addr;
+        private final long startedMs;
         private final Channel channel;
         private Exchange current;
         private long idleSince;
@@ -301,6 +302,7 @@
         Connection(Server server, Channel channel) {
             this.server = server;
             this.addr = server.addr;
+            this.startedMs = server.startedMs;
             this.channel = channel;
         }
 
@@ -334,7 +336,8 @@
 
         /** Keeps the connection for the next request, unless it leads to a process that is no more. */
         private void keep() {
-            if (server.ready && channel.isActive() && server.addr.equals(addr)) {
+            if (server.ready && channel.isActive() && server.addr.equals(addr)
+                    && server.startedMs == startedMs) {
                 idleSince = System.nanoTime();
                 server.idle.push(this);
             } else {
--- a/src/test/java/yewyoke/node/AttemptTimingTest.java
+++ b/src/test/java/yewyoke/node/AttemptTimingTest.java
@@ -89,4 +89,24 @@
         assertEquals("id-1", Sockets.next(upstream.requests).headers().get("x-correlation-id"));
         assertEquals(0, upstream.requests.size());
     }
+
+    /** Kept for the next request, a connection to the process before a restart reset that one. */
+    @Test
+    void aConnectionToTheProcessBeforeARestartIsNotKept() throws Exception {
+        CountDownLatch restarted = new CountDownLatch(1);
+        Server upstream = server((m, s) -> {
+            restarted.await();
+            SERVE.on(m, s);
+        });
+        start(upstream);
+        Client client = client().write(submit());
+        Sockets.next(upstream.requests);
+        String id = "s-" + upstream.addr();
+        tellChanges(entry(id, upstream.addr(), "Ready")
+                .replace("\"started_ms\":0", "\"started_ms\":1000"));
+        restarted.countDown();
+        assertEquals(200, client.read().status());
+        assertEquals(200, client.write(submit()).read().status());
+        assertEquals(2, upstream.accepted.size());
+    }
 }
