--- a/src/main/java/yewyoke/node/Upstreams.java
+++ b/src/main/java/yewyoke/node/Upstreams.java
@@ -298,6 +298,7 @@
         private final Channel channel;
         private Exchange current;
         private long idleSince;
+        private boolean isReset;
 
         Connection(Server server, Channel channel) {
             this.server = server;
@@ -311,8 +312,9 @@
             if (exchange != null && answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 return; // The final answer follows; left to come later, it would be the next request's.
             }
-            // An answer that only the end of the connection ends can't be told from one cut short.
-            if (exchange == null || answer.decoderResult().isFailure() || !channel.isActive()) {
+            // An answer of no length ends with its connection. A reset is no such end: it may cut one short.
+            if (exchange == null || answer.decoderResult().isFailure() || isReset
+                    || !channel.isActive() && !exchange.written) {
                 channel.close();
                 return;
             }
@@ -362,6 +364,7 @@
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            isReset = true;
             if (!(cause instanceof IOException || cause instanceof CodecException)) {
                 LOG.log(System.Logger.Level.ERROR, "closed an upstream's connection after a failure", cause);
             }
