Ask for the whole list after a broken line, and report no call that was replaced

Cause: a line that can't be read was skipped, and what it held was heard of with the next whole list, maybe never, while it counts as told after 6 s. And a call that a new address had ended was reported as failed, so that the module, where it says when to ask, closed the good call that had taken its place and opened another.

Change: a whole list is asked for beside the watch, again after growing pauses until one has come; one older than what the watch has told is not taken. A call that was replaced ends unreported.

--- a/src/main/java/yewyoke/node/Discovery.java
+++ b/src/main/java/yewyoke/node/Discovery.java
@@ -52,8 +52,12 @@
     private InetSocketAddress address;
     private long version;
     private boolean wanted;
-    private Channel watch;
+    private Call watch;
+    private Call repair;
     private long pause = FIRST_PAUSE_MS;
+    /** A line could not be read, so what is known may lack something until the next whole list. */
+    private boolean incomplete;
+    private long repairPause = FIRST_PAUSE_MS;
     private boolean badLineLogged;
 
     /** With {@code asked} the module says when to call; otherwise the watch opens itself again. */
@@ -70,10 +74,11 @@
     /** Begins to follow changes, anew if it does so already, or ends that. */
     void watch(boolean on) {
         wanted = on;
-        Channel old = watch;
+        Call old = watch;
         watch = null;
         if (old != null) {
-            old.close();
+            old.superseded = true;
+            old.channel.close();
         }
         if (on) {
             watch = call(LIST + "?follow=1&since=" + version);
@@ -93,7 +98,7 @@
         call(LIST);
     }
 
-    private Channel call(String uri) {
+    private Call call(String uri) {
         Call call = new Call();
         ChannelFuture connecting = transport.client(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -104,24 +109,32 @@
                                 new LineBasedFrameDecoder(MAX_LINE), call);
                     }
                 }).connect(transport.address(address));
-        Channel channel = connecting.channel();
+        call.channel = connecting.channel();
         connecting.addListener(f -> {
             if (f.isSuccess()) {
                 DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                         HttpMethod.GET, uri, Unpooled.EMPTY_BUFFER);
                 request.headers().set(HttpHeaderNames.HOST, address.getHostString());
-                channel.writeAndFlush(request);
+                call.channel.writeAndFlush(request);
             }
         });
-        channel.closeFuture().addListener(f -> ended(channel, call));
-        return channel;
+        call.channel.closeFuture().addListener(f -> ended(call));
+        return call;
     }
 
-    private void ended(Channel channel, Call call) {
-        boolean watching = channel == watch;
+    private void ended(Call call) {
+        boolean watching = call == watch;
         if (watching) {
             watch = null;
         }
+        if (call == repair) {
+            repair = null;
+            repairSoon();
+            return;
+        }
+        if (call.superseded) {
+            return; // Another one has taken its place, and goes on from what this one told.
+        }
         if (asked) {
             if (watching || !call.told) {
                 loop.execute(driver::listUnavailable);
@@ -137,6 +150,20 @@
         }
     }
 
+    /** Gets the whole list, again and again after growing pauses, until one has come. */
+    private void repairSoon() {
+        if (!incomplete || repair != null) {
+            return;
+        }
+        long wait = repairPause / 2 + ThreadLocalRandom.current().nextLong(repairPause);
+        repairPause = Math.min(LONGEST_PAUSE_MS, 2 * repairPause);
+        loop.schedule(() -> {
+            if (incomplete && repair == null) {
+                repair = call(LIST);
+            }
+        }, wait, TimeUnit.MILLISECONDS);
+    }
+
     /** The body of a 200 answer as bytes; its end counts as the end of a line. */
     private static final class Body extends MessageToMessageDecoder<HttpObject> {
         Body() {
@@ -163,7 +190,9 @@
     private final class Call extends SimpleChannelInboundHandler<ByteBuf> {
         private final ListLines lines = new ListLines(MAX_LINE,
                 () -> broken("a list that was not closed"));
+        private Channel channel;
         private boolean told;
+        private boolean superseded;
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
             pause = FIRST_PAUSE_MS;
@@ -187,13 +216,23 @@
                 broken(e.getMessage());
                 return;
             }
+            if (this == repair && list.version() < version) {
+                return; // The watch has told more meanwhile: the next one has that too.
+            }
             told = true;
             version = list.version();
+            if (list.full()) {
+                incomplete = false;
+                repairPause = FIRST_PAUSE_MS;
+            }
             // Not before all is read that has come: clients that have left get nothing sent for them.
             loop.execute(() -> driver.list(list.full() ? ListKind.COMPLETE : ListKind.CHANGES, list));
         }
 
+        /** What a broken line held is known again with a whole list, which is asked for beside the watch. */
         private void broken(String why) {
+            incomplete = true;
+            repairSoon();
             if (!badLineLogged) {
                 badLineLogged = true;
                 LOG.log(System.Logger.Level.WARNING, new BadList(address, why).getMessage());
