Hedge attempts at silent upstreams, and ask discovery again sooner after failures

The module gave up no attempt before its deadline. Ruled out: free places (with 4 of 12 machines gone the others had none) and ejection (it keeps new requests away, not those that are out).

Change: where second copies are allowed, a safe or keyed request whose one attempt is out at an upstream that has answered nothing since gets another elsewhere, if one has room, after three answer times or 0.6 of the time for repeats.

The pause after a failed call to discovery was 2 to 6 s in the end; what discovery has counts as told 6 s after it could be reached, so two calls have to fit: 1 to 3 s now. A load report goes to the process that the request was sent to.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -45,6 +45,8 @@
     private static final double SMOOTH = 0.15; // smoothing of each answer into an upstream's own times
     private static final double SMOOTH_ALL = 0.02; // and into those over all: many more answers feed them
     private static final double HANG_TIMES = 6; // typical answer times without an answer that mean it hangs
+    private static final double HEDGE_TIMES = 3; // typical answer times after which to hedge
+    private static final double HEDGE_WINDOW = 0.6; // or this part of the time for repeats
     private static final long FIRST_EJECTION = 1_000_000, LONGEST_EJECTION = 8_000_000; // doubled each time
     private static final double PANIC = 0.4; // panic threshold: with fewer left, ejections are ignored
     private static final int SHARERS = 12; // balancers to an upstream: few enough to tell and to be connected
@@ -60,7 +62,7 @@
     private static final double PROBE_POINTS = 0.003; // points that slow steady probing may cost
     private static final long PROBE_GAP = 300_000; // no upstream is probed more often than this by it
     private static final long ASK_AGAIN = 1_000_000; // mean pause before a failed subscription is tried again
-    private static final long LONGEST_ASK_AGAIN = 4_000_000; // the pause doubles up to this: drains are due
+    private static final long LONGEST_ASK_AGAIN = 2_000_000; // up to this: news count as told after 6 s
     private static final double COLD_SPREAD = 5; // standard deviations kept free of a cold upstream's budget
     private static final double COLD_COST = 1.2; // least bucket for a cold upstream, in mean requests
     private static final double RATE_SHARE = 0.08; // smoothing of each period into the rate of work done
@@ -153,7 +155,7 @@
     private static final class Try {
         final Up up;
         final long sentAt;
-        boolean limited, outstanding = true, mayHaveRun = true;
+        boolean limited, outstanding = true, mayHaveRun = true, hedged;
         double line;
 
         Try(Up up, long sentAt) {
@@ -186,6 +188,9 @@
         Try guard() { return tries.stream().filter(t -> t.mayHaveRun).findFirst().orElse(null); }
 
         long outstanding() { return tries.stream().filter(t -> t.outstanding).count(); }
+
+        /** Whether an attempt there went unanswered for so long that another was begun. */
+        boolean leftUnanswered(Up up) { return tries.stream().anyMatch(t -> t.hedged && t.up == up); }
     }
 
     @Override public void start(long now) {
@@ -441,8 +446,8 @@
     }
 
     private boolean mayTake(Up up, Req r, long now, boolean panic) {
-        return maySend(r, up, now) && (panic || !ejected(up, now)) && !silent(up, now)
-                && coldRoom(up, now);
+        return maySend(r, up, now) && !r.leftUnanswered(up) && (panic || !ejected(up, now))
+                && !silent(up, now) && coldRoom(up, now);
     }
 
     private Up draw(List<Up> candidates, double[] scores, double sum) {
@@ -563,12 +568,12 @@
     }
 
     @Override public void outcome(long now, AttemptEnd end) {
-        learn(byId.get(end.upstream()), end.load(), now);
         Req r = open.get(end.request());
         if (r == null || end.attempt() < 0 || end.attempt() >= r.tries.size()) {
             return;
         }
         Try t = r.tries.get(end.attempt());
+        learn(t.up, end.load(), now); // of the process that it was sent to, which may be no more
         if (t.outstanding) {
             t.outstanding = false;
             t.mayHaveRun = !end.outcome().neverRan;
@@ -602,6 +607,46 @@
         }
     }
 
+    /**
+     * Sends a request once more whose attempt is out at an upstream that has answered nothing since. One that
+     * vanished or hangs is known only after several answer times; by then the time in which a keyed request
+     * may be repeated was often over, and it failed at its deadline with nothing else to be done.
+     */
+    private void hedge(long now) {
+        List<Req> silent = new ArrayList<>();
+        for (Req r : open.values()) {
+            if (isSilent(r, now)) {
+                silent.add(r);
+            }
+        }
+        silent.sort(Comparator.comparingLong(r -> r.number));
+        for (Req r : silent) {
+            Try last = r.tries.get(r.tries.size() - 1);
+            last.hedged = true;
+            Up up = pick(r, now, false);
+            last.hedged = up != null;
+            if (up != null) {
+                send(r, up, now);
+            }
+        }
+    }
+
+    /** Whether the last attempt is the only one out, and its upstream has been silent for too long. */
+    private boolean isSilent(Req r, long now) {
+        if (r.ended || r.streaming || r.cls.effect() == Effect.UNSAFE || r.outstanding() != 1) {
+            return false;
+        }
+        Try last = r.tries.get(r.tries.size() - 1);
+        double seen = Math.max(typicalTook, Math.max(last.up.took, classTook[r.request.classIndex()]));
+        double typical = Math.max(seen, waitTarget); // nothing is seen at first
+        double patience = HEDGE_TIMES * typical;
+        if (r.cls.effect() == Effect.KEYED) {
+            patience = Math.min(patience, HEDGE_WINDOW * r.cls.memorySpan());
+        }
+        return last.outstanding && last.up.progressAt <= last.sentAt && now - last.sentAt > patience
+                && now + typical <= (r.cls.lateWorth() > 0 ? r.deadline : r.aimAt);
+    }
+
     /** The final answer of a request that could not be served: a refusal where legal, else a failure. */
     private void finish(Req r, long now) {
         hold(r, false, now);
@@ -844,6 +889,9 @@
         expire(now);
         checkHanging(now);
         shed(now);
+        if (settings.limits().secondCopies()) {
+            hedge(now);
+        }
         if (now >= nextReweight) {
             long period = jitter(PERIOD);
             measureRates(now, period);
