Hedge only where silence says something, and measure capacity at four sizes

A balancer of 100 has one request at an upstream and sees none of its other answers, so each slow request looked like silence.

Change: three answer times only where the balancer misses two answers at the rate that it is used to, else six, as for an upstream that hangs; and 0.6 of the time for repeats as before.

The capacity tests belong to the long ones.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -45,8 +45,8 @@
     private static final double SMOOTH = 0.15; // smoothing of each answer into an upstream's own times
     private static final double SMOOTH_ALL = 0.02; // and into those over all: many more answers feed them
     private static final double HANG_TIMES = 6; // typical answer times without an answer that mean it hangs
-    private static final double HEDGE_TIMES = 3; // typical answer times after which to hedge
-    private static final double HEDGE_WINDOW = 0.6; // or this part of the time for repeats
+    private static final double HEDGE_TIMES = 3, HEDGE_MISSED = 2; // answer times, if two are missed
+    private static final double HEDGE_WINDOW = 0.6; // part of the time for repeats after which to hedge
     private static final long FIRST_EJECTION = 1_000_000, LONGEST_EJECTION = 8_000_000; // doubled each time
     private static final double PANIC = 0.4; // panic threshold: with fewer left, ejections are ignored
     private static final int SHARERS = 12; // balancers to an upstream: few enough to tell and to be connected
@@ -639,7 +639,9 @@
         Try last = r.tries.get(r.tries.size() - 1);
         double seen = Math.max(typicalTook, Math.max(last.up.took, classTook[r.request.classIndex()]));
         double typical = Math.max(seen, waitTarget); // nothing is seen at first
-        double patience = HEDGE_TIMES * typical;
+        // To a balancer that sees few answers of an upstream, its silence says little.
+        double missed = last.up.doneRate / Math.max(meanCost, 1) * (now - last.sentAt);
+        double patience = (missed >= HEDGE_MISSED ? HEDGE_TIMES : HANG_TIMES) * typical;
         if (r.cls.effect() == Effect.KEYED) {
             patience = Math.min(patience, HEDGE_WINDOW * r.cls.memorySpan());
         }
--- /dev/null
+++ b/src/test/java/yewyoke/CapacityFigures.java
@@ -0,0 +1,68 @@
+package yewyoke;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Supplier;
+
+/** Measures of state and time at several sizes, and the slope between them, for docs/CAPACITY.md. */
+public final class CapacityFigures {
+    private static final int COLLECTIONS = 4;
+    private static final double FEW = 1e-9;
+
+    /** One size and what was measured there. */
+    private record Point(double size, double value) { }
+
+    private final String name;
+    private final String unit;
+    private final List<Point> points = new ArrayList<>();
+
+    /** Names what is measured, and in what. */
+    public CapacityFigures(String name, String unit) {
+        this.name = name;
+        this.unit = unit;
+    }
+
+    /** Takes in one measure. */
+    public void add(double size, double value) {
+        points.add(new Point(size, value));
+    }
+
+    /** The slope of the least squares: what one more costs. */
+    public double slope() {
+        double sizes = points.stream().mapToDouble(Point::size).average().orElseThrow();
+        double values = points.stream().mapToDouble(Point::value).average().orElseThrow();
+        double above = 0;
+        double below = 0;
+        for (Point p : points) {
+            above += (p.size - sizes) * (p.value - values);
+            below += (p.size - sizes) * (p.size - sizes);
+        }
+        return above / Math.max(below, FEW);
+    }
+
+    /** Prints a line of the page's table. */
+    public void print() {
+        StringBuilder line = new StringBuilder("capacity | " + name + " | ");
+        for (Point p : points) {
+            line.append(String.format(Locale.ROOT, "%.0f: %.2f, ", p.size, p.value));
+        }
+        System.out.println(line + unit + " | slope " + String.format(Locale.ROOT, "%.4f", slope()) + " |");
+    }
+
+    /** Bytes of heap that stay when all else is collected, for what is made and kept meanwhile. */
+    public static long held(Supplier<Object> made) {
+        long before = used();
+        Object kept = made.get();
+        long after = used();
+        java.lang.ref.Reference.reachabilityFence(kept);
+        return after - before;
+    }
+
+    private static long used() {
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+        }
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/fleet/agree/AgreementCapacityTest.java
@@ -0,0 +1,52 @@
+package yewyoke.fleet.agree;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static yewyoke.fleet.member.VirtualFleet.names;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import yewyoke.CapacityFigures;
+
+/** What consensus costs each member of a fleet with five voters, in hollow processes and virtual time. */
+@Tag("long")
+class AgreementCapacityTest {
+    private static final int[] MEMBERS = {10, 20, 40, 60};
+    private static final int VOTERS = 5;
+    private static final int SETTLING_S = 60;
+    private static final int MEASURED_S = 10;
+
+    private static VirtualAgreement settled(int members) {
+        VirtualAgreement fleet = new VirtualAgreement(1, AgreeSettings.of("dhaka", names(VOTERS))).with(members);
+        fleet.nodes.values().forEach(n -> n.working = false);
+        fleet.run(SETTLING_S * VirtualAgreement.SECOND);
+        return fleet;
+    }
+
+    @Test
+    void messages() {
+        CapacityFigures messages = new CapacityFigures("consensus and membership, messages of all", "a second");
+        CapacityFigures bytes = new CapacityFigures("consensus and membership, bytes of all", "KB a second");
+        CapacityFigures heap = new CapacityFigures("consensus and membership, heap of all", "KB");
+        CapacityFigures time = new CapacityFigures("consensus and membership, processor time of all", "ms a second");
+        settled(MEMBERS[0]); // loads its classes
+        for (int members : MEMBERS) {
+            VirtualAgreement[] fleet = new VirtualAgreement[1];
+            heap.add(members, CapacityFigures.held(() -> {
+                fleet[0] = settled(members);
+                return fleet[0];
+            }) / 1_024.0);
+            long sent = fleet[0].datagrams;
+            long size = fleet[0].bytes;
+            long begun = System.nanoTime();
+            fleet[0].run(MEASURED_S * VirtualAgreement.SECOND);
+            time.add(members, (System.nanoTime() - begun) / 1e6 / MEASURED_S);
+            messages.add(members, (fleet[0].datagrams - sent) / (double) MEASURED_S);
+            bytes.add(members, (fleet[0].bytes - size) / 1_024.0 / MEASURED_S);
+        }
+        messages.print();
+        bytes.print();
+        heap.print();
+        time.print();
+        assertTrue(messages.slope() < 200, "messages a second for each member: " + messages.slope());
+    }
+}
