--- a/src/test/java/yewyoke/fleet/agree/AgreementCapacityTest.java
+++ b/src/test/java/yewyoke/fleet/agree/AgreementCapacityTest.java
@@ -16,7 +16,8 @@
     private static final int MEASURED_S = 10;
 
     private static VirtualAgreement settled(int members) {
-        VirtualAgreement fleet = new VirtualAgreement(1, AgreeSettings.of("dhaka", names(VOTERS))).with(members);
+        AgreeSettings settings = AgreeSettings.of("dhaka", names(VOTERS));
+        VirtualAgreement fleet = new VirtualAgreement(1, settings).with(members);
         fleet.nodes.values().forEach(n -> n.working = false);
         fleet.run(SETTLING_S * VirtualAgreement.SECOND);
         return fleet;
@@ -24,10 +25,11 @@
 
     @Test
     void messages() {
-        CapacityFigures messages = new CapacityFigures("consensus and membership, messages of all", "a second");
-        CapacityFigures bytes = new CapacityFigures("consensus and membership, bytes of all", "KB a second");
+        CapacityFigures messages = new CapacityFigures("consensus, messages of all", "a second");
+        CapacityFigures bytes = new CapacityFigures("consensus, bytes of all", "KB a second");
         CapacityFigures heap = new CapacityFigures("consensus and membership, heap of all", "KB");
-        CapacityFigures time = new CapacityFigures("consensus and membership, processor time of all", "ms a second");
+        CapacityFigures time =
+                new CapacityFigures("consensus and membership, processor time of all", "ms a second");
         settled(MEMBERS[0]); // loads its classes
         for (int members : MEMBERS) {
             VirtualAgreement[] fleet = new VirtualAgreement[1];
