--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -643,7 +643,8 @@
         double missed = last.up.doneRate / Math.max(meanCost, 1) * (now - last.sentAt);
         double patience = (missed >= HEDGE_MISSED ? HEDGE_TIMES : HANG_TIMES) * typical;
         if (r.cls.effect() == Effect.KEYED) {
-            patience = Math.min(patience, HEDGE_WINDOW * r.cls.memorySpan());
+            double window = HEDGE_WINDOW * r.cls.memorySpan();
+            patience = Math.min(patience, Math.max(window, HEDGE_TIMES * typical));
         }
         return last.outstanding && last.up.progressAt <= last.sentAt && now - last.sentAt > patience
                 && now + typical <= (r.cls.lateWorth() > 0 ? r.deadline : r.aimAt);
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -326,6 +326,20 @@
         assertTrue(h.done.stream().noneMatch(line -> line.contains("cancel")), "it may still answer");
     }
 
+    /** With answers of 400 ms and 1 s for repeats each slow one was sent twice, with no room to spare. */
+    @Test
+    void nothingIsHedgedWhereTheTimeForRepeatsIsTooShortToTellSilence() {
+        config.secondCopies = true;
+        config.scope = Scope.ALL;
+        Host h = Host.of(config).list(4);
+        for (int i = 0; i < 50; i++) {
+            h.serve(1, 400 * MILLI, u -> 0.5);
+        }
+        String id = h.request(1, 2 * SECOND);
+        h.advance(2 * SECOND);
+        assertEquals(1, h.sends.get(id).size());
+    }
+
     @Test
     void anUnsafeRequestIsNeverHedged() {
         config.secondCopies = true;
