Give hedges a budget of one for fifty requests

Change: each request earns a fiftieth of a hedge, three are saved at most. Ruled out on the way: no hedge while requests wait for room, which changed nothing, since these get each free place first.

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -46,6 +46,7 @@
     private static final double SMOOTH_ALL = 0.02; // and into those over all: many more answers feed them
     private static final double HANG_TIMES = 6; // typical answer times without an answer that mean it hangs
     private static final double HEDGE_TIMES = 3, HEDGE_MISSED = 2; // answer times, if two are missed
+    private static final double HEDGE_BUDGET = 0.02, HEDGE_SAVED = 3; // hedges for each request, and at most
     private static final double HEDGE_WINDOW = 0.6; // part of the time for repeats after which to hedge
     private static final long FIRST_EJECTION = 1_000_000, LONGEST_EJECTION = 8_000_000; // doubled each time
     private static final double PANIC = 0.4; // panic threshold: with fewer left, ejections are ignored
@@ -93,7 +94,7 @@
     private long nextReweight, nextProbe, nextSweep, decideAt;
     private long askAgainAt = Long.MAX_VALUE, dueAt = Long.MAX_VALUE;
     private double requestRate, typicalTook, typicalPace, unitTook, warmRate, meanCost, askTokens;
-    private double askTook = FIRST_ASK;
+    private double askTook = FIRST_ASK, hedgeTokens = HEDGE_SAVED;
 
     /** Creates an instance; bad settings are refused with the field's name. */
     public Balance(Settings settings, long seed, Actions out) {
@@ -623,9 +624,10 @@
         for (Req r : silent) {
             Try last = r.tries.get(r.tries.size() - 1);
             last.hedged = true;
-            Up up = pick(r, now, false);
+            Up up = hedgeTokens >= 1 ? pick(r, now, false) : null;
             last.hedged = up != null;
             if (up != null) {
+                hedgeTokens--;
                 send(r, up, now);
             }
         }
@@ -711,6 +713,7 @@
                 * (withinShare(request.tenant(), now) ? 1 : settings.overShareWorth());
         meanCost = smooth(meanCost, r.cost, 0.01);
         requestsSince++;
+        hedgeTokens = Math.min(HEDGE_SAVED, hedgeTokens + HEDGE_BUDGET);
         open.put(request.id(), r);
         byDeadline.add(r);
         hold(r, true, now);
--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -340,6 +340,23 @@
         assertEquals(1, h.sends.get(id).size());
     }
 
+    /** When many are slow at once, second copies of all of them only make it worse. */
+    @Test
+    void hedgesAreFewForTheRequestsThatThereAre() {
+        config.secondCopies = true;
+        config.scope = Scope.ALL;
+        Host h = Host.of(config).list(12);
+        for (int i = 0; i < 200; i++) {
+            h.serve(1, 20 * MILLI, u -> 0.5);
+        }
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            ids.add(h.request(1, 2 * SECOND));
+        }
+        h.advance(700 * MILLI);
+        assertEquals(8 + 3, ids.stream().mapToInt(id -> h.sends.get(id).size()).sum());
+    }
+
     @Test
     void anUnsafeRequestIsNeverHedged() {
         config.secondCopies = true;
