Tell a late loop by its last timers too

Cause: a full verify failed once in aRequestWithItsClientsEndBehindItIsNeverBegun: a connection that waited to be accepted while the loop stood still was read in the turn after, when the late timers had run and nothing told of it. Change: the loop counts as late for 0.1 s after a timer that came over 20 ms late.

--- a/src/main/java/yewyoke/node/ClientSession.java
+++ b/src/main/java/yewyoke/node/ClientSession.java
@@ -34,8 +34,6 @@
     private static final String HEALTH = "/healthz";
     /** How long a request may take to come whole. Peers that send none are owed an end within 3 s. */
     private static final long REQUEST_MS = 2_000;
-    /** A loop so late, in microseconds, may have missed the ends of connections; 0.1 s are harmless. */
-    private static final long LATE = 20_000;
     /** How long a connection that we end is still read, for its client to see the end first. */
     private static final long LINGER_MS = 250;
     /** How long a client may leave answers unread, before it counts as gone. */
@@ -51,8 +49,6 @@
     private ScheduledFuture<?> unread;
     /** Came when all connections were taken. Those that came before are served all the same. */
     private boolean beyond;
-    /** Its first request may have waited as long as the connection did. */
-    private boolean acceptedLate;
     private boolean busy;
     private boolean lastRequest;
     private boolean stalled;
@@ -83,7 +79,6 @@
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
         beyond = server.isFull();
-        acceptedLate = driver.unread() > LATE;
         server.opened(this, channel.parent());
     }
 
@@ -113,21 +108,19 @@
             message.release();
             return;
         }
-        long unread = driver.unread();
-        Received received = new Received(message, driver.now() - unread);
+        Received received = new Received(message, driver.now() - driver.unread());
         waiting.add(received);
         account(received.bytes());
         if (!busy) {
             busy = true;
             server.notIdle(this);
-            begin(unread);
+            begin();
         }
     }
 
     /** After a loop that was late, the next turn reads first: the end of this connection may have come. */
-    private void begin(long unread) {
-        if (unread > LATE || acceptedLate) {
-            acceptedLate = false;
+    private void begin() {
+        if (driver.isLate()) {
             // Set from a task, a timer comes behind the reads of the next turn.
             channel.eventLoop().execute(
                     () -> channel.eventLoop().schedule(this::next, 0, TimeUnit.MILLISECONDS));
--- a/src/main/java/yewyoke/node/Driver.java
+++ b/src/main/java/yewyoke/node/Driver.java
@@ -50,6 +50,11 @@
     /** How long to wait for a list from discovery before serving from the one held before the start. */
     private static final long TRUST_KNOWN_MS = 1_000;
 
+    /** A loop so late, in microseconds, may have missed the ends of connections; 0.1 s are harmless. */
+    private static final long LATE = 20_000;
+    /** So long after that, in microseconds, what had waited has been read. */
+    private static final long LATE_FOR = 100_000;
+
     private final EventLoop loop;
     private final SettingsReader.Found facts;
     private final Limits limits;
@@ -71,6 +76,7 @@
     /** Null unless a part beside the balancer has a say. */
     private Restraint restraint;
     private Discovery discovery;
+    private long lateAt = Long.MIN_VALUE / 2;
     private boolean inEvent;
     private boolean ready;
     private boolean badReportLogged;
@@ -271,6 +277,11 @@
         return due == null ? 0 : Math.max(0, now() - due);
     }
 
+    /** Whether the loop is late, or was a moment ago: what it reads now may have waited long. */
+    boolean isLate() {
+        return unread() > LATE || now() - lateAt < LATE_FOR;
+    }
+
     boolean isOpen(String id) {
         return open.containsKey(id);
     }
@@ -522,7 +533,7 @@
     @Override public void timer(String token, long delay) {
         timersDue.add(now() + delay);
         loop.schedule(() -> {
-            timersDue.poll();
+            lateAt = now() - timersDue.poll() > LATE ? now() : lateAt;
             event(() -> balancer.timer(now(), token));
         }, delay, TimeUnit.MICROSECONDS);
     }
