--- a/src/test/java/yewyoke/BalanceTest.java
+++ b/src/test/java/yewyoke/BalanceTest.java
@@ -326,6 +326,37 @@
         assertTrue(h.done.stream().noneMatch(line -> line.contains("cancel")), "it may still answer");
     }
 
+    /** With answers of 400 ms and 1 s for repeats each slow one was sent twice, with no room to spare. */
+    @Test
+    void nothingIsHedgedWhereTheTimeForRepeatsIsTooShortToTellSilence() {
+        config.secondCopies = true;
+        config.scope = Scope.ALL;
+        Host h = Host.of(config).list(4);
+        for (int i = 0; i < 50; i++) {
+            h.serve(1, 400 * MILLI, u -> 0.5);
+        }
+        String id = h.request(1, 2 * SECOND);
+        h.advance(2 * SECOND);
+        assertEquals(1, h.sends.get(id).size());
+    }
+
+    /** When many are slow at once, second copies of all of them only make it worse. */
+    @Test
+    void hedgesAreFewForTheRequestsThatThereAre() {
+        config.secondCopies = true;
+        config.scope = Scope.ALL;
+        Host h = Host.of(config).list(12);
+        for (int i = 0; i < 200; i++) {
+            h.serve(1, 20 * MILLI, u -> 0.5);
+        }
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            ids.add(h.request(1, 2 * SECOND));
+        }
+        h.advance(700 * MILLI);
+        assertEquals(8 + 3, ids.stream().mapToInt(id -> h.sends.get(id).size()).sum());
+    }
+
     @Test
     void anUnsafeRequestIsNeverHedged() {
         config.secondCopies = true;
