--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -635,10 +635,13 @@
 
     /** Whether the last attempt is the only one out, and its upstream has been silent for too long. */
     private boolean isSilent(Req r, long now) {
-        if (r.ended || r.streaming || r.cls.effect() == Effect.UNSAFE || r.outstanding() != 1) {
+        if (r.ended || r.streaming || r.cls.effect() == Effect.UNSAFE || r.tries.isEmpty()) {
             return false;
         }
         Try last = r.tries.get(r.tries.size() - 1);
+        if (!last.outstanding || last.up.progressAt > last.sentAt || r.outstanding() != 1) {
+            return false;
+        }
         double seen = Math.max(typicalTook, Math.max(last.up.took, classTook[r.request.classIndex()]));
         double typical = Math.max(seen, waitTarget); // nothing is seen at first
         // To a balancer that sees few answers of an upstream, its silence says little.
@@ -648,7 +651,7 @@
             double window = HEDGE_WINDOW * r.cls.memorySpan();
             patience = Math.min(patience, Math.max(window, HEDGE_TIMES * typical));
         }
-        return last.outstanding && last.up.progressAt <= last.sentAt && now - last.sentAt > patience
+        return now - last.sentAt > patience
                 && now + typical <= (r.cls.lateWorth() > 0 ? r.deadline : r.aimAt);
     }
 
@@ -895,7 +898,7 @@
         expire(now);
         checkHanging(now);
         shed(now);
-        if (settings.limits().secondCopies()) {
+        if (settings.limits().secondCopies() && hedgeTokens >= 1) {
             hedge(now);
         }
         if (now >= nextReweight) {
