Share one back-off between the watch and the whole list

Need: the pauses of the watch and of the list after a broken line were written twice. Change: Backoff.

--- a/src/main/java/yewyoke/node/Discovery.java
+++ b/src/main/java/yewyoke/node/Discovery.java
@@ -28,7 +28,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import yewyoke.Balancer.ListKind;
 import yewyoke.error.OperatorError.BadInput;
@@ -42,8 +41,6 @@
     /** A watch says something every 2 s; one silent for longer may be cut off, and what it has is unheard. */
     private static final long SILENCE_MS = 3_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    private static final long FIRST_PAUSE_MS = 50;
-    private static final long LONGEST_PAUSE_MS = 1_000;
 
     private final EventLoop loop;
     private final Transport transport;
@@ -54,10 +51,10 @@
     private boolean wanted;
     private Call watch;
     private Call repair;
-    private long pause = FIRST_PAUSE_MS;
+    private final Backoff watchBackoff = new Backoff();
     /** A line could not be read, so what is known may lack something until the next whole list. */
     private boolean incomplete;
-    private long repairPause = FIRST_PAUSE_MS;
+    private final Backoff repairBackoff = new Backoff();
     private boolean badLineLogged;
 
     /** With {@code asked} the module says when to call; otherwise the watch opens itself again. */
@@ -140,13 +137,11 @@
                 loop.execute(driver::listUnavailable);
             }
         } else if (watching && wanted) {
-            long wait = pause / 2 + ThreadLocalRandom.current().nextLong(pause);
-            pause = Math.min(LONGEST_PAUSE_MS, 2 * pause);
             loop.schedule(() -> {
                 if (wanted && watch == null) {
                     watch(true);
                 }
-            }, wait, TimeUnit.MILLISECONDS);
+            }, watchBackoff.next(), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -155,13 +150,11 @@
         if (!incomplete || repair != null) {
             return;
         }
-        long wait = repairPause / 2 + ThreadLocalRandom.current().nextLong(repairPause);
-        repairPause = Math.min(LONGEST_PAUSE_MS, 2 * repairPause);
         loop.schedule(() -> {
             if (incomplete && repair == null) {
                 repair = call(LIST);
             }
-        }, wait, TimeUnit.MILLISECONDS);
+        }, repairBackoff.next(), TimeUnit.MILLISECONDS);
     }
 
     /** The body of a 200 answer as bytes; its end counts as the end of a line. */
@@ -195,7 +188,7 @@
         private boolean superseded;
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-            pause = FIRST_PAUSE_MS;
+            watchBackoff.reset();
             byte[] whole = lines.add(ByteBufUtil.getBytes(line));
             if (whole != null && whole.length > 0) {
                 line(whole);
@@ -223,7 +216,7 @@
             version = list.version();
             if (list.full()) {
                 incomplete = false;
-                repairPause = FIRST_PAUSE_MS;
+                repairBackoff.reset();
             }
             // Not before all is read that has come: clients that have left get nothing sent for them.
             loop.execute(() -> driver.list(list.full() ? ListKind.COMPLETE : ListKind.CHANGES, list));
