Add the fleet's event loop and HTTP on Grizzly

Need: both programs of the fleet serve and call HTTP on one thread, with timers that cost no thread. Ruled out: the HTTP server of the same library with its suspended answers: it stops reading while an answer is owed, so a client that leaves is not seen.

--- /dev/null
+++ b/src/main/java/yewyoke/io/HttpExchange.java
@@ -0,0 +1,166 @@
+package yewyoke.io;
+
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpPacket;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.HttpStatus;
+import org.glassfish.grizzly.memory.Buffers;
+
+/** A request read whole and its answer, on a connection of the library. */
+final class HttpExchange implements ServerExchange {
+    static final byte[] NO_BYTES = {};
+
+    private enum State { UNANSWERED, STREAMING, ENDED }
+
+    private final ServerConnection owner;
+    private final HttpRequestPacket request;
+    private final RequestHead head;
+    private final byte[] body;
+    private final boolean tooLarge;
+    private final boolean keepAlive;
+    private State state = State.UNANSWERED;
+    private HttpResponsePacket response;
+    private Runnable onGone;
+
+    HttpExchange(ServerConnection owner, HttpRequestPacket request, byte[] body, boolean tooLarge) {
+        this.owner = owner;
+        this.request = request;
+        this.body = body;
+        this.tooLarge = tooLarge;
+        String query = request.getQueryString();
+        String path = request.getRequestURI();
+        Headers headers = Headers.copyOf(request.getHeaders());
+        this.head = new RequestHead(request.getMethod().getMethodString(),
+                query == null || query.isEmpty() ? path : path + "?" + query, headers);
+        String connection = headers.get("Connection");
+        this.keepAlive = connection == null || !connection.equalsIgnoreCase("close");
+    }
+
+    boolean tooLarge() {
+        return tooLarge;
+    }
+
+    @Override public RequestHead head() {
+        return head;
+    }
+
+    @Override public byte[] body() {
+        return body;
+    }
+
+    @Override public String caller() {
+        return String.valueOf(owner.connection().getPeerAddress());
+    }
+
+    @Override public void respond(int status, Headers headers, byte[] answer) {
+        if (state != State.UNANSWERED) {
+            return;
+        }
+        boolean keep = keeps();
+        HttpResponsePacket.Builder builder = builder(status, headers, keep).contentLength(answer.length);
+        response = builder.build();
+        become(State.ENDED);
+        write(HttpContent.builder(response).content(wrap(answer, 0, answer.length)).last(true).build(), !keep);
+        owner.answered(this, keep);
+    }
+
+    @Override public void begin(int status, Headers headers) {
+        if (state != State.UNANSWERED) {
+            return;
+        }
+        response = builder(status, headers, keeps()).chunked(true).build();
+        become(State.STREAMING);
+    }
+
+    @Override public void write(byte[] bytes, int offset, int length) {
+        if (state == State.STREAMING && length > 0) {
+            write(HttpContent.builder(response).content(wrap(bytes, offset, length)).build(), false);
+        }
+    }
+
+    @Override public void end() {
+        if (state != State.STREAMING) {
+            return;
+        }
+        become(State.ENDED);
+        boolean keep = !"close".equalsIgnoreCase(response.getHeader("Connection"));
+        write(HttpContent.builder(response).content(wrap(NO_BYTES, 0, 0)).last(true).build(), !keep);
+        owner.answered(this, keep);
+    }
+
+    @Override public void abort() {
+        if (state != State.ENDED) {
+            become(State.ENDED);
+            owner.connection().terminateSilently();
+            owner.answered(this, false);
+        }
+    }
+
+    @Override public boolean open() {
+        return owner.connection().isOpen();
+    }
+
+    @Override public void onGone(Runnable task) {
+        onGone = task;
+    }
+
+    void gone() {
+        if (state != State.ENDED) {
+            become(State.ENDED);
+            if (onGone != null) {
+                onGone.run();
+            }
+        }
+    }
+
+    private void become(State next) {
+        state = next;
+    }
+
+    private boolean keeps() {
+        return keepAlive && !owner.server().closing();
+    }
+
+    private HttpResponsePacket.Builder builder(int status, Headers headers, boolean keep) {
+        HttpResponsePacket.Builder builder = HttpResponsePacket.builder(request);
+        builder.status(status).reasonPhrase(HttpStatus.getHttpStatus(status).getReasonPhrase());
+        headers.forEach((name, value) -> {
+            if (name.equalsIgnoreCase("Content-Type")) {
+                builder.contentType(value);
+            } else {
+                builder.header(name, value);
+            }
+        });
+        if (!keep) {
+            builder.header("Connection", "close");
+        } else if (owner.server().keepAlive() != null) {
+            builder.header("Keep-Alive", owner.server().keepAlive());
+        }
+        return builder;
+    }
+
+    private static Buffer wrap(byte[] bytes, int offset, int length) {
+        return length == 0 ? Buffers.EMPTY_BUFFER : Buffers.wrap(null, bytes, offset, length);
+    }
+
+    private void write(HttpPacket packet, boolean thenClose) {
+        if (thenClose) {
+            writeAndClose(owner.connection(), packet);
+        } else {
+            owner.connection().write(packet);
+        }
+    }
+
+    private static <L> void writeAndClose(Connection<L> connection, HttpPacket packet) {
+        connection.write(packet, new EmptyCompletionHandler<WriteResult<HttpPacket, L>>() {
+            @Override public void completed(WriteResult<HttpPacket, L> result) {
+                connection.closeSilently();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/io/SystemException.java
@@ -0,0 +1,24 @@
+package yewyoke.io;
+
+/** A failure with a numbered result code. */
+public class SystemException extends RuntimeException {
+    private static final long serialVersionUID = 1;
+
+    private final ResultCode code;
+
+    /** Creates a failure without a cause. */
+    public SystemException(ResultCode code, String message) {
+        this(code, message, null);
+    }
+
+    /** Creates a failure with its cause. */
+    public SystemException(ResultCode code, String message, Throwable cause) {
+        super("E" + code.number() + " " + code + ": " + message, cause);
+        this.code = code;
+    }
+
+    /** What kind of failure this is. */
+    public ResultCode code() {
+        return code;
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/io/HttpTest.java
@@ -0,0 +1,239 @@
+package yewyoke.io;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The HTTP of clients and upstreams through real sockets. */
+class HttpTest {
+    private static final byte[] NONE = {};
+    private EventLoop loop;
+    private int port;
+    private final LinkedBlockingQueue<String> heard = new LinkedBlockingQueue<>();
+
+    @BeforeEach
+    void start() {
+        loop = new EventLoop();
+        loop.start();
+    }
+
+    @AfterEach
+    void stop() {
+        loop.stop();
+    }
+
+    private HttpServer serve(Consumer<ServerExchange> handler) throws Exception {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        return new HttpServer(loop, "127.0.0.1", port, handler);
+    }
+
+    private Socket client() throws Exception {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout(5_000);
+        return socket;
+    }
+
+    private static void send(Socket socket, String text) throws Exception {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    private static String readUntil(Socket socket, String ending) throws Exception {
+        InputStream in = socket.getInputStream();
+        StringBuilder text = new StringBuilder();
+        while (ending == null || text.indexOf(ending) < 0) {
+            int b = in.read();
+            if (b < 0) {
+                return text + "<end>";
+            }
+            text.append((char) b);
+        }
+        return text.toString();
+    }
+
+    @Test
+    void aConnectionServesRequestsWithLengthAndInChunks() throws Exception {
+        serve(e -> e.respond(200, new Headers().add("X-Target", e.head().target()), e.body()));
+        try (Socket socket = client()) {
+            send(socket, "POST /a/b?q=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+            String first = readUntil(socket, "abc");
+            assertTrue(first.startsWith("HTTP/1.1 200 OK\r\n"), first);
+            assertTrue(first.contains("X-Target: /a/b?q=1\r\n"), first);
+            assertTrue(first.contains("Content-Length: 3\r\n"), first);
+            send(socket, "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "2\r\nde\r\n1\r\nf\r\n0\r\n\r\n");
+            assertTrue(readUntil(socket, "def").contains("X-Target: /c\r\n"));
+        }
+    }
+
+    @Test
+    void aStreamIsPassedOnInPieces() throws Exception {
+        LinkedBlockingQueue<ServerExchange> exchanges = new LinkedBlockingQueue<>();
+        serve(exchanges::add);
+        try (Socket socket = client()) {
+            send(socket, "GET /s HTTP/1.1\r\nHost: h\r\n\r\n");
+            ServerExchange exchange = exchanges.poll(5, TimeUnit.SECONDS);
+            loop.execute(() -> {
+                exchange.begin(200, new Headers().add("Content-Type", "text/event-stream"));
+                exchange.write("one".getBytes(StandardCharsets.US_ASCII), 0, 3);
+            });
+            String head = readUntil(socket, "one");
+            assertTrue(head.contains("Transfer-Encoding: chunked"), head);
+            assertTrue(head.contains("Content-Type: text/event-stream"), head);
+            loop.execute(() -> exchange.write("two".getBytes(StandardCharsets.US_ASCII), 0, 3));
+            readUntil(socket, "two");
+            loop.execute(exchange::end);
+            readUntil(socket, "0\r\n\r\n");
+            send(socket, "GET /again HTTP/1.1\r\nHost: h\r\n\r\n");
+            assertEquals("/again", exchanges.poll(5, TimeUnit.SECONDS).head().target());
+        }
+    }
+
+    @Test
+    void anAbortedStreamDoesNotLookWhole() throws Exception {
+        serve(e -> {
+            e.begin(200, new Headers());
+            e.write("one".getBytes(StandardCharsets.US_ASCII), 0, 3);
+            loop.schedule(50, e::abort);
+        });
+        try (Socket socket = client()) {
+            send(socket, "GET /s HTTP/1.1\r\nHost: h\r\n\r\n");
+            String all;
+            try {
+                all = readUntil(socket, null);
+            } catch (java.net.SocketException reset) {
+                all = "reset";
+            }
+            assertTrue(!all.contains("\r\n0\r\n"), all);
+        }
+    }
+
+    @Test
+    void aClientThatLeavesIsNoticed() throws Exception {
+        serve(e -> e.onGone(() -> heard.add("gone")));
+        Socket socket = client();
+        send(socket, "GET /s HTTP/1.1\r\nHost: h\r\n\r\n");
+        loop.execute(() -> { });
+        socket.close();
+        assertEquals("gone", heard.poll(5, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void brokenRequestsEndTheirConnectionAlone() throws Exception {
+        HttpServer server = serve(e -> e.respond(200, new Headers(), NONE));
+        loop.execute(() -> loop.schedule(200, () -> server.closeIdle(60_000, 100)));
+        try (Socket socket = client()) {
+            send(socket, "\u0000\u0001 nonsense\r\n\r\n\r\n");
+            String text = readUntil(socket, null);
+            assertTrue(text.startsWith("HTTP/1.1 400") || text.equals("<end>"), text);
+        }
+        try (Socket socket = client()) {
+            send(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+            assertTrue(readUntil(socket, "\r\n\r\n").startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    private HttpConnection.Listener recorder(Consumer<HttpConnection.Listener> whenConnected) {
+        return new HttpConnection.Listener() {
+            @Override public void connected() {
+                whenConnected.accept(this);
+            }
+
+            @Override public void head(ResponseHead head) {
+                heard.add("head " + head.status() + " " + head.headers().get("X-Name"));
+            }
+
+            @Override public void body(byte[] bytes) {
+                heard.add("body " + new String(bytes, StandardCharsets.ISO_8859_1));
+            }
+
+            @Override public void end(boolean reusable) {
+                heard.add("end " + reusable);
+            }
+
+            @Override public void closed(boolean everConnected) {
+                heard.add("closed " + everConnected);
+            }
+        };
+    }
+
+    private HttpConnection ask(int to, RequestHead head, byte[] body) {
+        HttpConnection[] made = new HttpConnection[1];
+        made[0] = HttpConnection.connect(loop, "127.0.0.1", to, recorder(l -> made[0].send(head, body)));
+        return made[0];
+    }
+
+    private String next() throws InterruptedException {
+        return heard.poll(5, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aRequestIsSentAndItsAnswerHeard() throws Exception {
+        try (ServerSocket upstream = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            HttpConnection connection = ask(upstream.getLocalPort(), new RequestHead("POST", "/p?x=1",
+                    new Headers().add("Host", "h").add("X-A", "1")), "abc".getBytes(StandardCharsets.US_ASCII));
+            try (Socket peer = upstream.accept()) {
+                String request = readUntil(peer, "abc");
+                assertTrue(request.startsWith("POST /p?x=1 HTTP/1.1\r\n"), request);
+                assertTrue(request.contains("X-A: 1\r\n") && request.contains("Host: h\r\n"), request);
+                send(peer, "HTTP/1.1 200 OK\r\nX-Name: v\r\nContent-Length: 2\r\n\r\nok");
+                assertEquals("head 200 v", next());
+                assertEquals("body ok", next());
+                assertEquals("end true", next());
+                loop.execute(() -> connection.send(new RequestHead("GET", "/q", new Headers().add("Host", "h")),
+                        NONE));
+                readUntil(peer, "\r\n\r\n");
+                send(peer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+                assertEquals("head 200 null", next());
+                assertEquals("body abc", next());
+                send(peer, "0\r\n\r\n");
+                assertEquals("end true", next());
+                send(peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
+                assertEquals("closed true", next());
+            }
+        }
+    }
+
+    @Test
+    void anAnswerCutOffIsNoEnd() throws Exception {
+        for (String cut : new String[] {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            "HTTP/1.1 200 OK\r\n\r\nabc", "nonsense that is no HTTP\r\n\r\n", ""}) {
+            heard.clear();
+            try (ServerSocket upstream = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+                ask(upstream.getLocalPort(), new RequestHead("GET", "/", new Headers().add("Host", "h")), NONE);
+                try (Socket peer = upstream.accept()) {
+                    readUntil(peer, "\r\n\r\n");
+                    send(peer, cut);
+                }
+                String last = next();
+                while (!last.startsWith("closed") && !last.startsWith("end")) {
+                    last = next();
+                }
+                assertEquals("closed true", last, cut);
+            }
+        }
+    }
+
+    @Test
+    void aDeadPortIsToldAsNeverConnected() throws Exception {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        ask(port, new RequestHead("GET", "/", new Headers()), NONE);
+        assertEquals("closed false", next());
+    }
+}
