Add the fleet's thin path: control plane, data plane, replication, distribution

Need: the users' list service and configuration tool end; the fleet has to know its upstreams and nodes, keep the configuration and deliver it. Two programs from one build: a control plane replicated from a primary to its backups, with members that vote on epochs, and a data plane that long-polls it and routes. Ruled out: Agrona's buffers on Java 17 (they need a module opened to them; the disk thread died of it); a log that a majority replicates (not wanted); MapDB's write-ahead log (whole checked tables are simpler to show safe).

--- a/src/main/java/yewyoke/Balance.java
+++ b/src/main/java/yewyoke/Balance.java
@@ -23,9 +23,6 @@
     private static final long SWEEP = 10_000; // mean time between looks at what is held; jittered
     private static final long IDLE_SWEEP = 50_000; // with nothing held: timers cost CPU in large groups
     private static final long PERIOD = 250_000; // mean reweighting period, jittered: balancers drift apart
-    private static final double GAIN = 1; // change of the log weight per period, for 1.0 off the mean
-    private static final double LEAK = 0.02; // share of the log weight forgotten each period
-    private static final double CLAMP = 6; // bound of the log weight: 4.5 times as many in flight either way
     private static final long FRESH = 3_000_000; // an older report says nothing; the mean weight applies
     private static final double BIAS = 4; // of the pick: a clearly shorter line nearly always wins
     private static final double CROSSING = 80; // own zone's preference for each point that crossing costs
@@ -120,13 +117,12 @@
         this.classAnswers = new long[settings.classes().size()];
     }
 
-    private static final class Up {
+    private static final class Up extends Reweighting.Weighed {
         final String id;
         final int hash;
         final long rank;
         Upstream entry;
-        // the mechanism: weight, load report, in-flight of ours and of others
-        double logWeight, weight = 1, load = Double.NaN;
+        // the mechanism beside the weight: load report, in-flight of ours and of others
         LoadReport report;
         long reportAt = NEVER;
         int inFlight;
@@ -249,31 +245,14 @@
     // ---- Reweighting ---------------------------------------------------------------------------------
 
     private void reweight(long now) {
-        double sum = 0, units = 0;
-        int fresh = 0;
+        double units = 0;
         for (Up up : ups) {
             units += up.least;
-            up.load = now - up.reportAt > FRESH ? Double.NaN
+            up.utilisation = now - up.reportAt > FRESH ? Double.NaN
                     : Math.max(0, Math.min(1, up.report.utilisation()));
-            sum += Double.isNaN(up.load) ? 0 : up.load;
-            fresh += Double.isNaN(up.load) ? 0 : 1;
         }
-        double mean = fresh == 0 ? 0 : sum / fresh;
         unitTook = units / Math.max(1, ups.size());
-        double logSum = 0;
-        for (Up up : ups) {
-            if (!Double.isNaN(up.load)) {
-                double moved = up.logWeight * (1 - LEAK) + GAIN * (mean - up.load);
-                up.logWeight = Math.max(-CLAMP, Math.min(CLAMP, moved));
-                logSum += up.logWeight;
-            }
-        }
-        for (Up up : ups) {
-            if (Double.isNaN(up.load)) {
-                up.logWeight = fresh == 0 ? up.logWeight * (1 - LEAK) : logSum / fresh;
-            }
-            up.weight = Math.exp(up.logWeight);
-        }
+        Reweighting.period(ups);
     }
 
     private double rating(Up up) {
--- /dev/null
+++ b/src/main/java/yewyoke/WeightedSchedule.java
@@ -0,0 +1,48 @@
+package yewyoke;
+
+import java.util.Collection;
+
+/**
+ * Picks in proportion to weight / (in-flight + 1)^bias by earliest deadline first: each candidate's deadline
+ * is the inverse of that figure behind its own last pick, and the earliest is taken.
+ */
+public final class WeightedSchedule {
+    private final double bias;
+    private double clock;
+
+    /** A candidate; {@link #reserved} is the schedule's own. */
+    public static class Candidate extends Reweighting.Weighed {
+        /** Up to where this candidate's turns are given away. */
+        private double reserved;
+
+        /** What of its work is under way, in requests. */
+        public double inFlight() {
+            return 0;
+        }
+    }
+
+    /** Creates a schedule with an exponent for what is in flight. */
+    public WeightedSchedule(double bias) {
+        this.bias = bias;
+    }
+
+    /** Picks one of the candidates, null if there are none. */
+    public <T extends Candidate> T pick(Collection<T> candidates) {
+        T earliest = null;
+        double deadline = Double.POSITIVE_INFINITY;
+        for (T candidate : candidates) {
+            double turn = Math.pow(candidate.inFlight() + 1, bias) / candidate.weight;
+            double due = Math.max(clock, ((Candidate) candidate).reserved) + turn;
+            if (due < deadline) {
+                deadline = due;
+                earliest = candidate;
+            }
+        }
+        if (earliest != null) {
+            Candidate chosen = earliest;
+            clock = Math.max(clock, chosen.reserved);
+            chosen.reserved = deadline;
+        }
+        return earliest;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/configuration/Configuration.java
@@ -0,0 +1,133 @@
+package yewyoke.configuration;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import yewyoke.io.ResultCode;
+
+/** A checked configuration, ready to route by. */
+public final class Configuration {
+    private final long generation;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, Service> services = new HashMap<>();
+    private final Map<String, Tenant> tenantsByKey = new HashMap<>();
+    private final List<Tenant> tenants = new ArrayList<>();
+    private final ClientLimits limits;
+
+    private Configuration(Fields root) {
+        if (!root.has("generation")) {
+            throw Fields.wrong("generation", "a number");
+        }
+        generation = root.number("generation", 0);
+        limits = ClientLimits.read(root);
+        for (Fields fields : root.objects("services")) {
+            Service service = Service.read(fields);
+            services.put(service.name(), service);
+        }
+        readTenants(root);
+        readRoutes(root);
+    }
+
+    /** Reads and checks a whole document; what is invalid is refused with the place of the fault. */
+    public static Configuration read(Map<String, Object> tree) {
+        return new Configuration(Fields.of("configuration", tree));
+    }
+
+    private void readTenants(Fields root) {
+        for (Fields fields : root.objects("tenants")) {
+            Tenant tenant = Tenant.read(fields);
+            tenants.add(tenant);
+            for (String key : tenant.keys()) {
+                Tenant other = tenantsByKey.put(key, tenant);
+                if (other != null && !other.name().equals(tenant.name())) {
+                    throw new ConfigurationException(ResultCode.SHARED_KEY,
+                            fields.path() + " has a key of tenant " + other.name());
+                }
+            }
+        }
+    }
+
+    private void readRoutes(Fields root) {
+        Set<String> places = new HashSet<>();
+        for (Fields fields : root.objects("routes")) {
+            Route route = Route.read(fields);
+            check(fields.path(), route);
+            if (!places.add(route.hostname().toLowerCase() + " " + route.pathPrefix())) {
+                throw new ConfigurationException(ResultCode.SAME_PLACE,
+                        fields.path() + " has host and prefix of another route");
+            }
+            routesByHost.computeIfAbsent(route.hostname().toLowerCase(), h -> new ArrayList<>()).add(route);
+        }
+        for (List<Route> ofHost : routesByHost.values()) {
+            ofHost.sort((a, b) -> b.pathPrefix().length() - a.pathPrefix().length());
+        }
+    }
+
+    private void check(String path, Route route) {
+        if (route.timeoutMs() <= 0) {
+            throw new ConfigurationException(ResultCode.NO_TIMEOUT, path + ".timeout_ms is not above 0");
+        }
+        double sum = 0;
+        for (Route.Share share : route.shares()) {
+            if (!services.containsKey(share.service())) {
+                throw new ConfigurationException(ResultCode.UNKNOWN_SERVICE,
+                        path + " names the unknown service " + share.service());
+            }
+            if (share.weight() < 0) {
+                throw Fields.wrong(path + ".traffic_split", "a list of weights of 0 and more");
+            }
+            sum += share.weight();
+        }
+        if (sum <= 0) {
+            throw new ConfigurationException(ResultCode.NO_WEIGHT, path + ".traffic_split adds up to 0");
+        }
+    }
+
+    /** The number under which the operator sent this configuration. */
+    public long generation() {
+        return generation;
+    }
+
+    /** The route with the longest prefix that begins the path, null if there is none. */
+    public Route route(String host, String path) {
+        if (host == null) {
+            return null;
+        }
+        int port = host.indexOf(':');
+        String name = (port < 0 ? host : host.substring(0, port)).toLowerCase();
+        for (Route route : routesByHost.getOrDefault(name, List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return route;
+            }
+        }
+        return null;
+    }
+
+    /** A service by its name, null if there is none. */
+    public Service service(String name) {
+        return services.get(name);
+    }
+
+    /** All services. */
+    public Iterable<Service> services() {
+        return services.values();
+    }
+
+    /** The tenant that holds a key, null if nobody does. */
+    public Tenant tenant(String key) {
+        return key == null ? null : tenantsByKey.get(key);
+    }
+
+    /** All tenants. */
+    public List<Tenant> tenants() {
+        return tenants;
+    }
+
+    /** Bounds on clients. */
+    public ClientLimits limits() {
+        return limits;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/control/ControlCommand.java
@@ -0,0 +1,99 @@
+package yewyoke.control;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import yewyoke.io.ResultCode;
+import yewyoke.io.SystemException;
+import yewyoke.message.StoredState;
+import yewyoke.process.NodeSettings;
+import yewyoke.process.SettingsException;
+
+/** The command line of the control plane. */
+final class ControlCommand {
+    private static final int USAGE = 2;
+    private static final String WORDS = "yewyoke-control serve | check [FILE] | store FOLDER";
+    private static final String FOOTER = """
+
+            serve         serve with the settings that MYRTLELADDER_CONFIG names
+            check [FILE]  check a settings file
+            store FOLDER  verify the state in a folder and tell what it holds
+
+            Exit codes: 0 done, 1 failed with a numbered result, 2 the command line is wrong.""";
+
+    private ControlCommand() { }
+
+    static int run(String[] arguments) {
+        Options options = new Options();
+        options.addOption("h", "help", false, "this text");
+        try {
+            CommandLine line = new DefaultParser().parse(options, arguments);
+            List<String> words = line.getArgList();
+            if (line.hasOption("help") || words.isEmpty()) {
+                new HelpFormatter().printHelp(WORDS, "", options, FOOTER);
+                return words.isEmpty() && !line.hasOption("help") ? USAGE : 0;
+            }
+            return carryOut(words);
+        } catch (ParseException e) {
+            System.err.println("E" + ResultCode.USAGE.number() + " " + e.getMessage());
+            return USAGE;
+        } catch (SystemException e) {
+            return Main.failed(e);
+        }
+    }
+
+    private static int carryOut(List<String> words) {
+        switch (words.get(0)) {
+            case "serve" -> serve();
+            case "check" -> System.out.println(settings(words) + "\nsettings are sound");
+            case "store" -> {
+                return verify(words);
+            }
+            default -> {
+                System.err.println("E" + ResultCode.USAGE.number() + " unknown word " + words.get(0));
+                return USAGE;
+            }
+        }
+        return 0;
+    }
+
+    private static NodeSettings settings(List<String> words) {
+        return words.size() > 1 ? NodeSettings.read(Path.of(words.get(1))) : NodeSettings.fromEnvironment();
+    }
+
+    private static void serve() {
+        NodeSettings settings = NodeSettings.fromEnvironment();
+        if (settings.control() == null || settings.dataFolder().isEmpty()) {
+            throw new SettingsException(ResultCode.SETTINGS_VALUE,
+                    "a control node needs listen.control and data_dir");
+        }
+        try {
+            Main.serve(settings);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static int verify(List<String> words) {
+        if (words.size() < 2) {
+            throw new SettingsException(ResultCode.USAGE, "store wants a folder");
+        }
+        int sound = 0;
+        for (GenerationStore.Generation generation : new GenerationStore(Path.of(words.get(1))).generations()) {
+            try {
+                StoredState state = GenerationStore.read(generation.file());
+                sound++;
+                System.out.println(generation.file() + ": store " + state.store + ", promised "
+                        + state.promised + ", " + state.accepted + ", generation "
+                        + state.snapshot.generation + ", " + state.snapshot.orders.size() + " orders");
+            } catch (SystemException e) {
+                System.out.println(generation.file() + ": " + e.getMessage());
+            }
+        }
+        return sound > 0 ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/control/InstanceReader.java
@@ -0,0 +1,31 @@
+package yewyoke.control;
+
+import java.util.Map;
+import yewyoke.configuration.ConfigurationException;
+import yewyoke.io.ResultCode;
+import yewyoke.message.InstanceRecord;
+import yewyoke.message.InstanceRecord.Stage;
+
+/** Reads the body of an upstream's heartbeat. */
+final class InstanceReader {
+    private InstanceReader() { }
+
+    static InstanceRecord read(String id, Map<String, Object> tree) {
+        String state = text(tree, "state");
+        return InstanceRecord.of(id, text(tree, "backend"), text(tree, "address"),
+                String.valueOf(tree.getOrDefault("zone", "")), (int) number(tree, "capacity", 1),
+                String.valueOf(tree.getOrDefault("generation", "")),
+                state.equals("draining") ? Stage.DRAINING : Stage.READY, number(tree, "sequence", 0));
+    }
+
+    private static String text(Map<String, Object> tree, String name) {
+        if (tree.get(name) instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        throw new ConfigurationException(ResultCode.CONFIGURATION_FIELD, name + " is not a text");
+    }
+
+    private static long number(Map<String, Object> tree, String name, long otherwise) {
+        return tree.get(name) instanceof Number number ? number.longValue() : otherwise;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/control/InstanceRegistry.java
@@ -0,0 +1,81 @@
+package yewyoke.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import yewyoke.message.InstanceRecord;
+import yewyoke.message.InstanceRecord.Stage;
+
+/** The upstreams that heartbeats tell of. Each change has a revision; what is gone is kept for a while. */
+final class InstanceRegistry {
+    private static final long KEEP_GONE = 60_000;
+
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private long revision;
+
+    private static final class Entry {
+        InstanceRecord record;
+        long revision;
+        long heardAt;
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    /** Takes a record; whether it tells something new. */
+    boolean take(InstanceRecord record, long now) {
+        Entry entry = entries.computeIfAbsent(record.id, id -> new Entry());
+        InstanceRecord before = entry.record;
+        InstanceRecord after = before == null ? record : InstanceRecord.later(before, record);
+        entry.heardAt = now;
+        entry.record = after;
+        if (after.differsFrom(before)) {
+            entry.revision = ++revision;
+            return true;
+        }
+        return false;
+    }
+
+    /** Takes what other nodes knew; each counts as heard now. */
+    void inherit(Collection<InstanceRecord> records, long now) {
+        records.forEach(r -> take(r, now));
+        entries.values().forEach(e -> e.heardAt = now);
+    }
+
+    InstanceRecord get(String id) {
+        Entry entry = entries.get(id);
+        return entry == null ? null : entry.record;
+    }
+
+    List<InstanceRecord> all() {
+        return since(0);
+    }
+
+    List<InstanceRecord> since(long known) {
+        List<InstanceRecord> changed = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (entry.revision > known) {
+                changed.add(entry.record);
+            }
+        }
+        return changed;
+    }
+
+    /** Takes upstreams for gone that have been silent for too long; whether any was. */
+    boolean expire(long now, long longestSilence) {
+        boolean changed = false;
+        entries.values().removeIf(e -> e.record.stage == Stage.GONE && now - e.heardAt > KEEP_GONE);
+        for (Entry entry : entries.values()) {
+            if (entry.record.stage != Stage.GONE && now - entry.heardAt > longestSilence) {
+                entry.record = entry.record.at(Stage.GONE);
+                entry.revision = ++revision;
+                entry.heardAt = now;
+                changed = true;
+            }
+        }
+        return changed;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/control/Main.java
@@ -0,0 +1,77 @@
+package yewyoke.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import yewyoke.io.EventLoop;
+import yewyoke.io.HttpServer;
+import yewyoke.io.SystemException;
+import yewyoke.message.Member;
+import yewyoke.message.StoredState;
+import yewyoke.process.Address;
+import yewyoke.process.NodeSettings;
+import yewyoke.process.Signals;
+import yewyoke.replication.Replica;
+import yewyoke.replication.ReplicaOptions;
+import yewyoke.rpc.MessageServer;
+import yewyoke.rpc.PeerClient;
+
+/** The control plane's program. */
+public final class Main {
+    private static final Logger LOG = LogManager.getLogger(Main.class);
+    private static final long HAND_OVER = 300;
+
+    private Main() { }
+
+    /** Runs the program; see {@link ControlCommand} for its words. */
+    public static void main(String[] arguments) {
+        System.exit(ControlCommand.run(arguments));
+    }
+
+    /** Serves until SIGTERM. */
+    static void serve(NodeSettings settings) throws InterruptedException {
+        EventLoop loop = new EventLoop();
+        GenerationStore store = new GenerationStore(java.nio.file.Path.of(settings.dataFolder()));
+        StoredState onDisk = store.load();
+        DiskThread disk = new DiskThread(loop, store);
+        disk.start();
+        loop.start();
+        PeerClient peers = new PeerClient(loop);
+        ControlPlane plane = new ControlPlane(loop, peers, settings.toleratedMachines(),
+                settings.heartbeatMs());
+        Replica replica = new Replica(options(settings), onDisk, UUID.randomUUID().toString(), loop, disk,
+                peers, plane, plane::instances);
+        loop.execute(() -> {
+            plane.attach(replica);
+            new MessageServer(loop, settings.ip(), settings.firstPort(), plane::receive);
+            new HttpServer(loop, settings.control().host(), settings.control().port(), plane::handle);
+            replica.start();
+        });
+        java.util.concurrent.CountDownLatch ended = new java.util.concurrent.CountDownLatch(1);
+        Signals.on("TERM", () -> loop.execute(() -> {
+            replica.resign("asked to end");
+            loop.schedule(HAND_OVER, ended::countDown);
+        }));
+        Signals.on("HUP", () -> loop.execute(() -> LOG.info("settings are read at each start only")));
+        LOG.info("control node {} at {}", settings.nodeName(), settings.control());
+        ended.await();
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static ReplicaOptions options(NodeSettings settings) {
+        int port = settings.firstPort();
+        List<Member> seeds = new ArrayList<>();
+        for (Address seed : settings.seeds()) {
+            seeds.add(Member.of(seed.host() + ":" + port, seed.toString(), ""));
+        }
+        Member self = Member.of(settings.ip() + ":" + port, settings.control().toString(), "");
+        return new ReplicaOptions(self, settings.toleratedMachines(), settings.bootstrap(), seeds);
+    }
+
+    static int failed(SystemException e) {
+        System.err.println(e.getMessage());
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/control/StoreException.java
@@ -0,0 +1,14 @@
+package yewyoke.control;
+
+import yewyoke.io.ResultCode;
+import yewyoke.io.SystemException;
+
+/** The disk does not take or give back the state. */
+public final class StoreException extends SystemException {
+    private static final long serialVersionUID = 1;
+
+    /** Creates a failure with its cause, which may be null. */
+    public StoreException(ResultCode code, String message, Throwable cause) {
+        super(code, message, cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/dataplane/ControlPoller.java
@@ -0,0 +1,131 @@
+package yewyoke.dataplane;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import yewyoke.configuration.Configuration;
+import yewyoke.configuration.Json;
+import yewyoke.io.Scheduler;
+import yewyoke.message.Message;
+import yewyoke.message.Poll;
+import yewyoke.message.PollReply;
+import yewyoke.replication.Peers;
+
+/**
+ * Long polls to the control plane: each names what this balancer has and is answered once there is more. What
+ * is taken never goes back: answers of lower epochs and older generations are left.
+ */
+final class ControlPoller {
+    private static final Logger LOG = LogManager.getLogger(ControlPoller.class);
+    private static final long TIMEOUT = 1_900;
+    private static final long PAUSE = 100;
+
+    private final Scheduler scheduler;
+    private final Peers peers;
+    private final Router router;
+    private final String balancer;
+    private final List<String> seeds;
+    private List<String> members = List.of();
+    private String target = "";
+    private int turn;
+    private long epoch;
+    private long generation;
+    private long revision;
+    private boolean complete;
+    private int balancers;
+    private boolean leaving;
+
+    ControlPoller(Scheduler scheduler, Peers peers, Router router, String balancer, List<String> seeds) {
+        this.scheduler = scheduler;
+        this.peers = peers;
+        this.router = router;
+        this.balancer = balancer;
+        this.seeds = seeds;
+    }
+
+    /** Begins to poll. */
+    void start() {
+        poll();
+    }
+
+    /** Tells the control plane that this balancer ends. */
+    void leave() {
+        leaving = true;
+        poll();
+    }
+
+    /** Whether a configuration is in force and the upstreams were told. */
+    boolean ready() {
+        return generation > 0 && epoch > 0;
+    }
+
+    long generation() {
+        return generation;
+    }
+
+    private void poll() {
+        if (target.isEmpty()) {
+            target = nextTarget();
+        }
+        Poll poll = new Poll();
+        poll.balancer = balancer;
+        poll.leaving = leaving;
+        poll.epoch = epoch;
+        poll.generation = generation;
+        poll.revision = revision;
+        poll.complete = complete;
+        poll.balancers = balancers;
+        poll.demand = router.quotas().demand(scheduler.now());
+        peers.call(target, poll, TIMEOUT, this::answered);
+    }
+
+    private String nextTarget() {
+        Set<String> all = new LinkedHashSet<>(members);
+        all.addAll(seeds);
+        List<String> list = new ArrayList<>(all);
+        return list.get(Math.floorMod(turn++, list.size()));
+    }
+
+    private void answered(Message message) {
+        if (leaving) {
+            return;
+        }
+        if (!(message instanceof PollReply reply)) {
+            target = "";
+            scheduler.schedule(PAUSE, this::poll);
+            return;
+        }
+        if (!reply.members.isEmpty()) {
+            members = reply.members;
+        }
+        if (!reply.valid || reply.epoch < epoch) {
+            target = reply.primary.equals(target) ? "" : reply.primary;
+            scheduler.schedule(PAUSE, this::poll);
+            return;
+        }
+        take(reply);
+        poll();
+    }
+
+    private void take(PollReply reply) {
+        if (reply.epoch > epoch) {
+            LOG.info("epoch {} of {} follows {}", reply.epoch, reply.primary, epoch);
+        }
+        complete = reply.complete || complete && reply.epoch == epoch;
+        epoch = reply.epoch;
+        revision = reply.revision;
+        router.directory().take(reply.instances, reply.whole && reply.complete);
+        if (reply.generation > generation && reply.document.length > 0) {
+            Configuration next = Configuration.read(Json.readObject(reply.document));
+            router.use(next);
+            generation = reply.generation;
+            LOG.info("generation {} is in force", generation);
+        }
+        balancers = reply.balancers;
+        router.balancers(reply.balancers);
+        router.quotas().share(reply.shares, reply.balancers, scheduler.now());
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/dataplane/UpstreamDirectory.java
@@ -0,0 +1,126 @@
+package yewyoke.dataplane;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import yewyoke.configuration.Configuration;
+import yewyoke.configuration.Service;
+import yewyoke.message.InstanceRecord;
+import yewyoke.message.InstanceRecord.Stage;
+
+/** The upstreams that this balancer knows, by service. One that drains or is gone never comes back. */
+final class UpstreamDirectory {
+    private static final int MOST_ENDED = 5_000;
+
+    private final Map<String, Upstream> byId = new LinkedHashMap<>();
+    private final Map<String, List<Upstream>> readyByService = new HashMap<>();
+    private final Set<String> ended = new HashSet<>();
+    private final Consumer<Upstream> onEnd;
+    private Configuration configuration;
+
+    /** Creates a directory; {@code onEnd} hears of upstreams that take no more requests. */
+    UpstreamDirectory(Consumer<Upstream> onEnd) {
+        this.onEnd = onEnd;
+    }
+
+    void use(Configuration next) {
+        configuration = next;
+        byId.values().forEach(u -> {
+            if (!u.hasEngine()) {
+                u.engine(engineOf(u.record()));
+            }
+        });
+    }
+
+    private Service.Engine engineOf(InstanceRecord record) {
+        Service service = configuration == null ? null : configuration.service(record.service);
+        return service == null ? null : service.engine();
+    }
+
+    /** Takes records; if they are {@code all}, what is not among them is gone. */
+    void take(Collection<InstanceRecord> records, boolean all) {
+        Set<String> named = new HashSet<>();
+        for (InstanceRecord record : records) {
+            named.add(record.id);
+            take(record);
+        }
+        if (all) {
+            for (Upstream upstream : new ArrayList<>(byId.values())) {
+                if (!named.contains(upstream.record().id)) {
+                    end(upstream, Stage.GONE);
+                }
+            }
+        }
+        index();
+    }
+
+    private void take(InstanceRecord record) {
+        if (ended.contains(record.id)) {
+            return;
+        }
+        Upstream known = byId.get(record.id);
+        if (record.stage != Stage.READY) {
+            remember(record.id);
+            if (known != null) {
+                end(known, record.stage);
+            }
+            return;
+        }
+        if (known == null) {
+            Upstream created = new Upstream(record);
+            created.engine(engineOf(record));
+            byId.put(record.id, created);
+        } else if (known.record().sequence <= record.sequence) {
+            known.update(record);
+        }
+    }
+
+    private void remember(String id) {
+        if (ended.size() >= MOST_ENDED) {
+            ended.clear();
+        }
+        ended.add(id);
+    }
+
+    private void end(Upstream upstream, Stage stage) {
+        byId.remove(upstream.record().id);
+        upstream.update(upstream.record().at(stage));
+        onEnd.accept(upstream);
+    }
+
+    /** An answer showed that this incarnation is not at its address any more. */
+    void gone(Upstream upstream) {
+        if (byId.get(upstream.record().id) == upstream) {
+            remember(upstream.record().id);
+            end(upstream, Stage.GONE);
+            index();
+        }
+    }
+
+    private void index() {
+        readyByService.clear();
+        for (Upstream upstream : byId.values()) {
+            readyByService.computeIfAbsent(upstream.record().service, s -> new ArrayList<>()).add(upstream);
+        }
+    }
+
+    /** The upstreams of a service that take requests. */
+    List<Upstream> ready(String service) {
+        return readyByService.getOrDefault(service, List.of());
+    }
+
+    /** All that take requests, by service. */
+    Map<String, List<Upstream>> byService() {
+        return readyByService;
+    }
+
+    int size() {
+        return byId.size();
+    }
+}
--- a/src/main/java/yewyoke/io/HttpExchange.java
+++ b/src/main/java/yewyoke/io/HttpExchange.java
@@ -8,6 +8,7 @@
 import org.glassfish.grizzly.http.HttpPacket;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.http.util.HttpStatus;
 import org.glassfish.grizzly.memory.Buffers;
 
@@ -45,6 +46,14 @@
         return tooLarge;
     }
 
+    /** Whether the request line is one of HTTP/1.x with a plain method and an absolute path. */
+    boolean wellFormed() {
+        Protocol protocol = request.getProtocol();
+        boolean version = protocol == Protocol.HTTP_1_1 || protocol == Protocol.HTTP_1_0;
+        boolean method = head.method().chars().allMatch(c -> c >= 'A' && c <= 'Z');
+        return version && method && head.target().startsWith("/");
+    }
+
     @Override public RequestHead head() {
         return head;
     }
@@ -61,7 +70,8 @@
         if (state != State.UNANSWERED) {
             return;
         }
-        boolean keep = keeps();
+        boolean keep = keeps() && headers.get("Connection") == null;
+        headers.remove("Connection");
         HttpResponsePacket.Builder builder = builder(status, headers, keep).contentLength(answer.length);
         response = builder.build();
         become(State.ENDED);
--- a/src/main/java/yewyoke/io/ServerConnection.java
+++ b/src/main/java/yewyoke/io/ServerConnection.java
@@ -76,6 +76,10 @@
 
     private void begin(HttpExchange exchange) {
         current = exchange;
+        if (!exchange.wellFormed()) {
+            exchange.respond(400, new Headers().add("Connection", "close"), HttpExchange.NO_BYTES);
+            return;
+        }
         if (exchange.tooLarge()) {
             exchange.respond(413, new Headers(), HttpExchange.NO_BYTES);
             return;
--- /dev/null
+++ b/src/main/java/yewyoke/message/MessageCodec.java
@@ -0,0 +1,54 @@
+package yewyoke.message;
+
+import io.protostuff.LinkedBuffer;
+import io.protostuff.ProtostuffIOUtil;
+import io.protostuff.Schema;
+import io.protostuff.runtime.RuntimeSchema;
+import java.util.List;
+import yewyoke.io.IoException;
+import yewyoke.io.ResultCode;
+
+/** Messages as bytes: one byte for the type, then the fields as Protostuff. */
+public final class MessageCodec {
+    private static final List<Class<? extends Message>> TYPES = List.of(StoredState.class, Prepare.class,
+            Promise.class, Install.class, Accept.class, Replicate.class, Heartbeat.class, Resign.class,
+            Acknowledge.class, Join.class, JoinReply.class, ShareInstances.class, Poll.class, PollReply.class);
+    private static final int BUFFER = 1_024;
+
+    private MessageCodec() { }
+
+    /** A message as bytes. */
+    public static byte[] encode(Message message) {
+        int type = TYPES.indexOf(message.getClass());
+        byte[] fields = fields(message);
+        byte[] bytes = new byte[fields.length + 1];
+        bytes[0] = (byte) type;
+        System.arraycopy(fields, 0, bytes, 1, fields.length);
+        return bytes;
+    }
+
+    @SuppressWarnings("unchecked")
+    private static <T extends Message> byte[] fields(T message) {
+        Schema<T> schema = RuntimeSchema.getSchema((Class<T>) message.getClass());
+        return ProtostuffIOUtil.toByteArray(message, schema, LinkedBuffer.allocate(BUFFER));
+    }
+
+    /** Bytes as a message; what is none is refused. */
+    public static Message decode(byte[] bytes) {
+        if (bytes.length == 0 || bytes[0] < 0 || bytes[0] >= TYPES.size()) {
+            throw new IoException(ResultCode.BAD_MESSAGE, "unknown type of message", null);
+        }
+        try {
+            return parse(TYPES.get(bytes[0]), bytes);
+        } catch (RuntimeException e) {
+            throw new IoException(ResultCode.BAD_MESSAGE, "fields can't be read: " + e.getMessage(), e);
+        }
+    }
+
+    private static <T extends Message> T parse(Class<T> type, byte[] bytes) {
+        Schema<T> schema = RuntimeSchema.getSchema(type);
+        T message = schema.newMessage();
+        ProtostuffIOUtil.mergeFrom(bytes, 1, bytes.length - 1, message, schema);
+        return message;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/message/Poll.java
@@ -0,0 +1,26 @@
+package yewyoke.message;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A balancer asks for all that is newer than what it has; the answer may wait for news. */
+public final class Poll implements Message {
+    /** The balancer's incarnation. */
+    public String balancer = "";
+    /** Whether it is about to end. */
+    public boolean leaving;
+    /** The epoch of the last answer, 0 before the first. */
+    public long epoch;
+    /** The number of the configuration in force, 0 for none. */
+    public long generation;
+    /** The revision of the upstreams, within the epoch. */
+    public long revision;
+    /** Whether the balancer has had a complete list within the epoch. */
+    public boolean complete;
+    /** How many balancers there are as far as it knows. */
+    public int balancers;
+    /** The demand of its clients. */
+    public List<TenantDemand> demand = new ArrayList<>();
+    /** Whether news are wanted at once, even if there are none. */
+    public boolean immediate;
+}
--- /dev/null
+++ b/src/main/java/yewyoke/message/Prepare.java
@@ -0,0 +1,20 @@
+package yewyoke.message;
+
+/** A candidate asks for the promise of an epoch, or whether it would be given. */
+public final class Prepare implements Message {
+    /** The epoch asked for. */
+    public long epoch;
+    /** The candidate. */
+    public Member candidate;
+    /** Asks only whether a primary is heard of; nothing is promised. */
+    public boolean trial;
+
+    /** Creates a message from its parts. */
+    public static Prepare of(long epoch, Member candidate, boolean trial) {
+        Prepare message = new Prepare();
+        message.epoch = epoch;
+        message.candidate = candidate;
+        message.trial = trial;
+        return message;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/message/Promise.java
@@ -0,0 +1,18 @@
+package yewyoke.message;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The answer to a {@link Prepare}. */
+public final class Promise implements Message {
+    /** Whether the promise is given. */
+    public boolean granted;
+    /** The highest epoch promised so far. */
+    public long promised;
+    /** Who answers. */
+    public Member member;
+    /** The last view accepted, null if none. */
+    public View accepted;
+    /** The upstreams that the member has heard of. */
+    public List<InstanceRecord> instances = new ArrayList<>();
+}
--- /dev/null
+++ b/src/main/java/yewyoke/message/Replicate.java
@@ -0,0 +1,23 @@
+package yewyoke.message;
+
+/** The primary gives a replica the next state. */
+public final class Replicate implements Message {
+    /** The epoch of the primary. */
+    public long epoch;
+    /** The document after the change. */
+    public byte[] document = {};
+    /** Its number. */
+    public long generation;
+    /** The digest of the order. */
+    public String order = "";
+
+    /** Creates a message from its parts. */
+    public static Replicate of(long epoch, byte[] document, long generation, String order) {
+        Replicate message = new Replicate();
+        message.epoch = epoch;
+        message.document = document;
+        message.generation = generation;
+        message.order = order;
+        return message;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/message/View.java
@@ -0,0 +1,51 @@
+package yewyoke.message;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+/** Who is primary, who holds copies and who may vote, under the epoch that fences them. */
+public final class View {
+    /** The epoch; each has one primary at most. */
+    public long epoch;
+    /** The primary, null before the first. */
+    public Member primary;
+    /** The members that hold the state, the primary first. */
+    public List<Member> replicas = new ArrayList<>();
+    /** The members that store epochs and vote. */
+    public List<Member> group = new ArrayList<>();
+
+    /** The group before this view; its majority counts too until a view follows in which nothing changed. */
+    public List<Member> previous = new ArrayList<>();
+
+    /** Creates a view from its parts. */
+    public static View of(long epoch, Member primary, List<Member> replicas, List<Member> group,
+            List<Member> previous) {
+        View view = new View();
+        view.previous = new ArrayList<>(previous);
+        view.epoch = epoch;
+        view.primary = primary;
+        view.replicas = new ArrayList<>(replicas);
+        view.group = new ArrayList<>(group);
+        return view;
+    }
+
+    /** Whether more than half of the group, and of the one before, is among the given members. */
+    public boolean hasMajority(Collection<Member> members) {
+        return majority(group, members) && majority(previous, members);
+    }
+
+    /** Whether the group is the one before, so that a single majority counts. */
+    public boolean settled() {
+        return group.size() == previous.size() && group.containsAll(previous);
+    }
+
+    private static boolean majority(List<Member> voters, Collection<Member> members) {
+        long count = voters.stream().filter(members::contains).count();
+        return count > voters.size() / 2;
+    }
+
+    @Override public String toString() {
+        return "epoch " + epoch + " primary " + primary + " replicas " + replicas + " group " + group;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/process/NodeSettings.java
@@ -0,0 +1,114 @@
+package yewyoke.process;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import yewyoke.io.ResultCode;
+
+/** What the platform tells a process, checked whole; fields that are not known are ignored. */
+public record NodeSettings(String nodeName, String role, String ip, String zone, String region,
+        int firstPort, List<Address> seeds, boolean bootstrap, long heartbeatMs, String dataFolder,
+        Address frontend, Address readiness, Address control, int toleratedMachines, Limits limits,
+        Bounds bounds) {
+    /** The environment variable that names the settings file. */
+    public static final String VARIABLE = "MYRTLELADDER_CONFIG";
+
+    /** What the machine gives. */
+    public record Limits(int memoryMb, int descriptors) { }
+
+    /** Figures of the rules. */
+    public record Bounds(long drainMs, long configMs, long graceMs, double budgetRatio, long budgetWindowMs,
+            int budgetSlack, long contactMs) { }
+
+    /** Reads the file that the environment names. */
+    public static NodeSettings fromEnvironment() {
+        String file = System.getenv(VARIABLE);
+        if (file == null || file.isEmpty()) {
+            throw new SettingsException(ResultCode.NO_SETTINGS, VARIABLE + " is not set");
+        }
+        return read(Path.of(file));
+    }
+
+    /** Reads and checks a file. */
+    public static NodeSettings read(Path file) {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new SettingsException(ResultCode.NO_SETTINGS, file + " can't be read: " + e);
+        }
+        return parse(text);
+    }
+
+    /** Reads and checks a text. */
+    public static NodeSettings parse(String text) {
+        JsonNode root;
+        try {
+            root = new TomlMapper().readTree(text);
+        } catch (JsonProcessingException e) {
+            String line = e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr() + ": ";
+            throw new SettingsException(ResultCode.SETTINGS_SYNTAX, line + e.getOriginalMessage());
+        }
+        JsonNode listen = root.path("listen");
+        return new NodeSettings(text(root, "node_name"), text(root, "role"), text(root, "ip"),
+                text(root, "zone"), root.path("region").asText(""), firstPort(root), seeds(root),
+                root.path("bootstrap").asBoolean(false), number(root, "heartbeat_ms", 1, 600_000),
+                root.path("data_dir").asText(""), address(listen, "frontend"), address(listen, "readiness"),
+                address(listen, "control"), root.path("fault_tolerance").path("machines").asInt(0),
+                limits(root.path("limits")), bounds(root.path("bounds")));
+    }
+
+    private static Limits limits(JsonNode node) {
+        return new Limits(node.path("memory_mb").asInt(256), node.path("max_fds").asInt(1_024));
+    }
+
+    private static Bounds bounds(JsonNode node) {
+        return new Bounds(node.path("drain_ms").asLong(2_000), node.path("config_ms").asLong(2_000),
+                Math.round(node.path("grace_s").asDouble(8) * 1_000), node.path("budget_ratio").asDouble(0.1),
+                Math.round(node.path("budget_window_s").asDouble(10) * 1_000),
+                node.path("budget_slack").asInt(0), node.path("contact_ms").asLong(3_000));
+    }
+
+    private static String text(JsonNode node, String name) {
+        JsonNode value = node.path(name);
+        if (!value.isTextual() || value.asText().isEmpty()) {
+            throw new SettingsException(ResultCode.SETTINGS_VALUE, name + " is not a text");
+        }
+        return value.asText();
+    }
+
+    private static long number(JsonNode node, String name, long least, long most) {
+        JsonNode value = node.path(name);
+        if (!value.isNumber() || value.asLong() < least || value.asLong() > most) {
+            throw new SettingsException(ResultCode.SETTINGS_VALUE,
+                    name + " is not a number from " + least + " to " + most);
+        }
+        return value.asLong();
+    }
+
+    private static int firstPort(JsonNode root) {
+        int port = root.path("port_range").path(0).asInt(0);
+        if (port < 1 || port > 65_535) {
+            throw new SettingsException(ResultCode.SETTINGS_VALUE, "port_range does not begin with a port");
+        }
+        return port;
+    }
+
+    private static List<Address> seeds(JsonNode root) {
+        List<Address> seeds = new ArrayList<>();
+        for (JsonNode seed : root.path("seeds")) {
+            seeds.add(Address.parse("seeds", seed.asText()));
+        }
+        return seeds;
+    }
+
+    private static Address address(JsonNode listen, String name) {
+        JsonNode value = listen.path(name);
+        return value.isMissingNode() ? null : Address.parse("listen." + name, value.asText());
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/process/SettingsException.java
@@ -0,0 +1,14 @@
+package yewyoke.process;
+
+import yewyoke.io.ResultCode;
+import yewyoke.io.SystemException;
+
+/** Settings or a command line that can't be used. */
+public final class SettingsException extends SystemException {
+    private static final long serialVersionUID = 1;
+
+    /** Creates a refusal. */
+    public SettingsException(ResultCode code, String message) {
+        super(code, message);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/replication/Candidacy.java
@@ -0,0 +1,297 @@
+package yewyoke.replication;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import yewyoke.message.Accept;
+import yewyoke.message.Acknowledge;
+import yewyoke.message.Install;
+import yewyoke.message.InstanceRecord;
+import yewyoke.message.Member;
+import yewyoke.message.Prepare;
+import yewyoke.message.Promise;
+import yewyoke.message.View;
+
+/**
+ * One attempt to install a view: promises of a majority, the state at all its replicas, then the view at a
+ * majority of the group before and of the group after it.
+ */
+final class Candidacy {
+    private enum Step { TRIAL, SAVING, PREPARING, INSTALLING, ACCEPTING, ENDED }
+
+    private final Replica replica;
+    private final List<Member> nextGroup;
+    private final boolean baseChosen;
+    private final boolean withTrial;
+    private final long begunAt;
+    private final Map<Member, Promise> promises = new HashMap<>();
+    private final Set<Member> asked = new HashSet<>();
+    private final Set<Member> accepted = new LinkedHashSet<>();
+    private final Set<Member> installed = new LinkedHashSet<>();
+    private Step step = Step.TRIAL;
+    private long epoch;
+    private long highestSeen;
+    private long enoughSince;
+    private boolean baseMoved;
+    private View base;
+    private View view;
+
+    /** {@code baseChosen} says that the view to start from is known to hold, so that its group may change. */
+    Candidacy(Replica replica, List<Member> nextGroup, boolean baseChosen, boolean withTrial) {
+        this.replica = replica;
+        this.baseChosen = baseChosen;
+        this.nextGroup = nextGroup;
+        this.withTrial = withTrial;
+        this.begunAt = replica.scheduler().now();
+        this.base = replica.view();
+        this.epoch = Math.max(replica.stored().promised, base.epoch) + 1;
+    }
+
+    void begin() {
+        if (withTrial) {
+            become(Step.TRIAL);
+            askAll();
+            evaluateTrial();
+        } else {
+            prepare();
+        }
+    }
+
+    void end() {
+        become(Step.ENDED);
+    }
+
+    private void become(Step next) {
+        step = next;
+    }
+
+    void tick(long now) {
+        if (step == Step.TRIAL || step == Step.PREPARING) {
+            askAll();
+            evaluatePromises();
+        }
+        if (step != Step.ENDED && now - begunAt > ReplicaTimes.CANDIDACY) {
+            replica.lost("the attempt took too long at " + step, true);
+        }
+    }
+
+    private void askAll() {
+        ask(base.group);
+        ask(base.previous);
+        if (step == Step.PREPARING) {
+            ask(nextGroup);
+        }
+    }
+
+    private void ask(List<Member> members) {
+        boolean trial = step == Step.TRIAL;
+        long asking = epoch;
+        for (Member member : members) {
+            if (member.equals(replica.self()) || !asked.add(member)) {
+                continue;
+            }
+            replica.peers().call(member.address, Prepare.of(asking, replica.self(), trial), ReplicaTimes.CALL,
+                    answer -> {
+                        if (answer instanceof Promise promise && promise.member != null) {
+                            promised(promise, trial);
+                        } else if (asking == epoch) {
+                            asked.remove(member);
+                        }
+                    });
+        }
+    }
+
+    private void promised(Promise promise, boolean trial) {
+        if (step != (trial ? Step.TRIAL : Step.PREPARING)) {
+            return;
+        }
+        highestSeen = Math.max(highestSeen, promise.promised);
+        if (promise.accepted != null) {
+            replica.know(promise.accepted);
+        }
+        if (promise.granted) {
+            promises.put(promise.member, promise);
+        } else if (promise.promised >= epoch) {
+            // Another epoch is ahead: begin again above it.
+            epoch = promise.promised;
+            replica.lost("epoch " + promise.promised + " is ahead", true);
+            return;
+        }
+        if (trial) {
+            evaluateTrial();
+        } else {
+            evaluatePromises();
+        }
+    }
+
+    private Set<Member> granted() {
+        Set<Member> members = new LinkedHashSet<>(promises.keySet());
+        members.add(replica.self());
+        return members;
+    }
+
+    private void evaluateTrial() {
+        if (step == Step.TRIAL && base.hasMajority(granted())) {
+            prepare();
+        }
+    }
+
+    private void prepare() {
+        become(Step.SAVING);
+        promises.clear();
+        asked.clear();
+        epoch = Math.max(epoch, Math.max(highestSeen, replica.stored().promised) + 1);
+        replica.saveState(replica.stored().withPromised(epoch), ok -> {
+            if (!ok || step != Step.SAVING) {
+                return;
+            }
+            become(Step.PREPARING);
+            askAll();
+            evaluatePromises();
+        });
+    }
+
+    /** The last view that may have committed changes, as far as those who promised know. */
+    private View lastAccepted() {
+        View last = replica.stored().accepted;
+        for (Promise promise : promises.values()) {
+            if (promise.accepted != null && (last == null || promise.accepted.epoch > last.epoch)) {
+                last = promise.accepted;
+            }
+        }
+        return last;
+    }
+
+    private void evaluatePromises() {
+        if (step != Step.PREPARING) {
+            return;
+        }
+        View last = lastAccepted();
+        if (!last.replicas.contains(replica.self())) {
+            replica.know(last);
+            replica.lost("not a replica of " + last, false);
+            return;
+        }
+        if (last.epoch > base.epoch) {
+            base = last;
+            baseMoved = true;
+            askAll();
+        }
+        if (!base.hasMajority(granted()) || !last.hasMajority(granted())) {
+            return;
+        }
+        long now = replica.scheduler().now();
+        enoughSince = enoughSince == 0 ? now : enoughSince;
+        if (promises.size() >= asked.size() || now - enoughSince >= ReplicaTimes.GATHER) {
+            choose();
+        }
+    }
+
+    private void choose() {
+        List<Member> group = mayChangeGroup() ? nextGroup : base.group;
+        List<Member> previous = mayChangeGroup() ? base.group : base.previous;
+        List<Member> candidates = new ArrayList<>();
+        for (Member member : base.replicas) {
+            addIfFit(candidates, member, group, false);
+        }
+        for (Member member : group) {
+            addIfFit(candidates, member, group, false);
+        }
+        for (Member member : group) {
+            addIfFit(candidates, member, group, true);
+        }
+        int copies = Math.min(replica.options().copies(), group.size());
+        if (candidates.size() < copies - 1) {
+            return; // more may promise until the attempt ends
+        }
+        List<Member> replicas = new ArrayList<>();
+        replicas.add(replica.self());
+        replicas.addAll(candidates.subList(0, copies - 1));
+        view = View.of(epoch, replica.self(), replicas, group, previous);
+        install();
+    }
+
+    private void addIfFit(List<Member> candidates, Member member, List<Member> group, boolean evenAvoided) {
+        boolean fit = promises.containsKey(member) && group.contains(member)
+                && (evenAvoided || !replica.avoided(member));
+        if (fit && !member.equals(replica.self()) && !candidates.contains(member)) {
+            candidates.add(member);
+        }
+    }
+
+    /** A group changes only from a view that is known to hold: else two of them might follow one. */
+    private boolean mayChangeGroup() {
+        return baseChosen && !baseMoved;
+    }
+
+    private void install() {
+        become(Step.INSTALLING);
+        installed.add(replica.self());
+        for (Member member : view.replicas) {
+            if (member.equals(replica.self())) {
+                continue;
+            }
+            replica.peers().call(member.address, Install.of(epoch, replica.stored().snapshot),
+                    ReplicaTimes.DISK_PATIENCE, answer -> {
+                        if (step != Step.INSTALLING) {
+                            return;
+                        }
+                        if (answer instanceof Acknowledge reply && reply.taken && member.equals(reply.member)) {
+                            installed.add(member);
+                            acceptIfInstalled();
+                        } else {
+                            replica.avoidNow(member);
+                            replica.lost(member + " does not take the state", true);
+                        }
+                    });
+        }
+        acceptIfInstalled();
+    }
+
+    private void acceptIfInstalled() {
+        if (installed.size() < view.replicas.size()) {
+            return;
+        }
+        become(Step.ACCEPTING);
+        replica.saveState(replica.stored().withAccepted(view), ok -> {
+            if (ok && step == Step.ACCEPTING) {
+                accepted.add(replica.self());
+                winIfAccepted();
+            }
+        });
+        Set<Member> all = new LinkedHashSet<>(view.group);
+        all.addAll(view.previous);
+        for (Member member : all) {
+            if (!member.equals(replica.self())) {
+                replica.peers().call(member.address, Accept.of(view), ReplicaTimes.CALL, answer -> {
+                    if (answer instanceof Acknowledge reply && reply.taken && reply.member != null) {
+                        accepted.add(reply.member);
+                        winIfAccepted();
+                    }
+                });
+            }
+        }
+    }
+
+    private void winIfAccepted() {
+        boolean whole = accepted.contains(replica.self()) && accepted.containsAll(view.replicas);
+        if (step == Step.ACCEPTING && whole && view.hasMajority(accepted)) {
+            become(Step.ENDED);
+            replica.won(view, inherited());
+        }
+    }
+
+    private List<InstanceRecord> inherited() {
+        Map<String, InstanceRecord> latest = new LinkedHashMap<>();
+        for (Promise promise : promises.values()) {
+            promise.instances.forEach(r -> latest.merge(r.id, r, InstanceRecord::later));
+        }
+        replica.instances().forEach(r -> latest.merge(r.id, r, InstanceRecord::later));
+        return new ArrayList<>(latest.values());
+    }
+}
