Grant quotas from one place and load the fleet's classes from archives

Ruled out: the quota itself (1.3 times usual). Change: the primary holds the buckets and grants what a request counts; out of touch, a part each. Archives of classes for both programs.

--- a/src/main/java/yewyoke/control/ControlCommand.java
+++ b/src/main/java/yewyoke/control/ControlCommand.java
@@ -1,5 +1,6 @@
 package yewyoke.control;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
@@ -16,11 +17,12 @@
 /** The command line of the control plane. */
 final class ControlCommand {
     private static final int USAGE = 2;
-    private static final String WORDS = "yewyoke-control serve | check [FILE] | store FOLDER";
+    private static final String WORDS = "yewyoke-control serve | check [FILE] | rehearse | store FOLDER";
     private static final String FOOTER = """
 
             serve         serve with the settings that MYRTLELADDER_CONFIG names
             check [FILE]  check a settings file
+            rehearse      serve requests of its own on the loopback and end
             store FOLDER  verify the state in a folder and tell what it holds
 
             Exit codes: 0 done, 1 failed with a numbered result, 2 the command line is wrong.""";
@@ -49,6 +51,9 @@
     private static int carryOut(List<String> words) {
         switch (words.get(0)) {
             case "serve" -> serve();
+            case "rehearse" -> {
+                return rehearse();
+            }
             case "check" -> System.out.println(settings(words) + "\nsettings are sound");
             case "store" -> {
                 return verify(words);
@@ -65,6 +70,15 @@
         return words.size() > 1 ? NodeSettings.read(Path.of(words.get(1))) : NodeSettings.fromEnvironment();
     }
 
+    private static int rehearse() {
+        try {
+            return Rehearsal.run() ? 0 : 1;
+        } catch (IOException | InterruptedException e) {
+            System.err.println(e);
+            return 1;
+        }
+    }
+
     private static void serve() {
         NodeSettings settings = NodeSettings.fromEnvironment();
         if (settings.control() == null || settings.dataFolder().isEmpty()) {
--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -29,6 +29,8 @@
 import yewyoke.message.Message;
 import yewyoke.message.Poll;
 import yewyoke.message.PollReply;
+import yewyoke.message.QuotaAsk;
+import yewyoke.message.QuotaGrant;
 import yewyoke.message.ShareInstances;
 import yewyoke.message.Snapshot;
 import yewyoke.replication.Peers;
@@ -54,6 +56,7 @@
     private final long heartbeatMs;
     private final InstanceRegistry registry = new InstanceRegistry();
     private final BalancerDirectory balancers = new BalancerDirectory();
+    private final QuotaBank bank;
     private final ArrayDeque<Order> orders = new ArrayDeque<>();
     private final List<HeldPoll> polls = new ArrayList<>();
     private Replica replica;
@@ -69,7 +72,9 @@
     private record HeldPoll(Poll poll, Consumer<Message> answer, long since) { }
 
     /** Creates a control plane; {@link #attach} has to follow. */
-    public ControlPlane(Scheduler scheduler, Peers peers, int tolerated, long heartbeatMs) {
+    public ControlPlane(Scheduler scheduler, Peers peers, int tolerated, long heartbeatMs,
+            double quotaOverage, double quotaSlack) {
+        this.bank = new QuotaBank(quotaOverage, quotaSlack);
         this.scheduler = scheduler;
         this.peers = peers;
         this.tolerated = tolerated;
@@ -90,11 +95,12 @@
     @Override public void becamePrimary(Collection<InstanceRecord> inherited) {
         if (!leading) {
             leadingSince = scheduler.now();
+            bank.clear();
         }
         leading = true;
         working = false;
         registry.inherit(inherited, scheduler.now());
-        committed = replica.snapshot();
+        commit(false);
         LOG.info("primary of epoch {} with generation {} and {} upstreams", replica.epoch(),
                 committed.generation, registry.all().size());
         answerPolls();
@@ -155,7 +161,7 @@
     private Map<String, Object> status() {
         return Map.of("state", replica.state().name(), "epoch", replica.epoch(), "generation",
                 committed.generation, "upstreams", registry.all().size(), "balancers",
-                balancers.count(scheduler.now(), false), "view", String.valueOf(replica.view()));
+                balancers.count(false), "view", String.valueOf(replica.view()));
     }
 
     private static Headers json() {
@@ -259,7 +265,7 @@
     private void submit(Order order, ConfigurationDocument next) {
         replica.submit(next.bytes(), next.generation(), order.digest(), taken -> {
             if (taken) {
-                committed = replica.snapshot();
+                commit(true);
                 LOG.info("generation {} is committed in epoch {}", committed.generation, replica.epoch());
                 answerPolls();
                 order.exchange().respond(200, json(), acknowledged());
@@ -270,6 +276,15 @@
         });
     }
 
+    private void commit(boolean byOrder) {
+        boolean first = byOrder && committed.generation == 0;
+        committed = replica.snapshot();
+        if (committed.generation > 0) {
+            bank.use(ConfigurationDocument.stored(committed.document, committed.generation).configuration(),
+                    first, scheduler.now());
+        }
+    }
+
     private byte[] acknowledged() {
         return Json.write(Map.of("generation", committed.generation));
     }
@@ -368,6 +383,9 @@
     public void receive(Message message, Consumer<Message> answer) {
         if (message instanceof Poll poll) {
             polled(poll, answer);
+        } else if (message instanceof QuotaAsk ask) {
+            boolean valid = leading && replica.recentlyConfirmed();
+            answer.accept(valid ? bank.grant(ask, scheduler.now()) : QuotaGrant.of(false, 0, 0));
         } else if (message instanceof ShareInstances shared) {
             boolean current = shared.epoch >= replica.epoch();
             if (current) {
@@ -426,8 +444,7 @@
         if (!replica.recentlyConfirmed()) {
             return notPrimary();
         }
-        long now = scheduler.now();
-        boolean young = !settled(now);
+        boolean young = !settled(scheduler.now());
         PollReply reply = new PollReply();
         reply.valid = true;
         reply.primary = replica.self().address;
@@ -439,8 +456,7 @@
         reply.complete = !young;
         reply.whole = poll.epoch != reply.epoch || !poll.complete;
         reply.instances = registry.since(reply.whole ? 0 : poll.revision);
-        reply.balancers = balancers.count(now, young);
-        reply.shares = balancers.shares(poll.balancer, now, young);
+        reply.balancers = balancers.count(young);
         return reply;
     }
 }
--- a/src/main/java/yewyoke/control/Main.java
+++ b/src/main/java/yewyoke/control/Main.java
@@ -39,8 +39,9 @@
         disk.start();
         loop.start();
         PeerClient peers = new PeerClient(loop);
+        NodeSettings.Bounds bounds = settings.bounds();
         ControlPlane plane = new ControlPlane(loop, peers, settings.toleratedMachines(),
-                settings.heartbeatMs());
+                settings.heartbeatMs(), bounds.quotaOverage(), bounds.quotaSlack());
         Replica replica = new Replica(options(settings), onDisk, UUID.randomUUID().toString(), loop, disk,
                 peers, plane, plane::instances);
         loop.execute(() -> {
--- /dev/null
+++ b/src/main/java/yewyoke/control/QuotaBank.java
@@ -0,0 +1,84 @@
+package yewyoke.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import yewyoke.configuration.Configuration;
+import yewyoke.configuration.Tenant;
+import yewyoke.message.QuotaAsk;
+import yewyoke.message.QuotaGrant;
+
+/**
+ * The quotas of all tenants, in one place: a bucket for each, from which balancers take what their requests
+ * count. A request may leave a debt, so that large ones are not passed over for small ones.
+ */
+final class QuotaBank {
+    private static final double OVERAGE_USED = 0.5;
+    private static final double SLACK_USED = 0.25;
+    private static final double FIRST_LEVEL = 0.3;
+    private static final double FULL = 0.5;
+    private static final double AHEAD = 0.1;
+
+    private final double overage;
+    private final double slack;
+    private final Map<String, Bucket> buckets = new HashMap<>();
+
+    private static final class Bucket {
+        double rate;
+        double most;
+        double level;
+        long filledAt;
+
+        void fill(long now) {
+            level = Math.min(most, level + rate * (now - filledAt) / 1_000);
+            filledAt = now;
+        }
+    }
+
+    QuotaBank(double overage, double slack) {
+        this.overage = overage;
+        this.slack = slack;
+    }
+
+    /** Forgets all levels: another node granted until now. */
+    void clear() {
+        buckets.clear();
+    }
+
+    /** Takes the quotas of a configuration; {@code full} says that nothing was granted before. */
+    void use(Configuration configuration, boolean full, long now) {
+        Map<String, Bucket> before = new HashMap<>(buckets);
+        buckets.clear();
+        for (Tenant tenant : configuration.tenants()) {
+            if (tenant.ratePerSecond() <= 0) {
+                continue;
+            }
+            Bucket bucket = new Bucket();
+            bucket.rate = tenant.ratePerSecond() * (1 + overage * OVERAGE_USED);
+            bucket.most = Math.max(tenant.burst(), 1) + slack * SLACK_USED;
+            Bucket known = before.get(tenant.name());
+            if (known != null) {
+                known.fill(now);
+                bucket.level = Math.min(bucket.most, known.level);
+            } else {
+                bucket.level = bucket.most * (full ? 1 : FIRST_LEVEL);
+            }
+            bucket.filledAt = now;
+            buckets.put(tenant.name(), bucket);
+        }
+    }
+
+    QuotaGrant grant(QuotaAsk ask, long now) {
+        Bucket bucket = buckets.get(ask.tenant);
+        if (bucket == null) {
+            return QuotaGrant.of(true, ask.units, 0);
+        }
+        bucket.fill(now);
+        if (bucket.level <= 0) {
+            return QuotaGrant.of(true, 0, Math.max(1, Math.round(-bucket.level / bucket.rate * 1_000)));
+        }
+        double ahead = bucket.level > FULL * bucket.most
+                ? Math.min(ask.units, AHEAD * (bucket.level - FULL * bucket.most)) : 0;
+        bucket.level -= ask.units + ahead;
+        return QuotaGrant.of(true, ask.units + ahead, 0);
+    }
+}
--- a/src/main/java/yewyoke/dataplane/ControlPoller.java
+++ b/src/main/java/yewyoke/dataplane/ControlPoller.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import yewyoke.configuration.Configuration;
@@ -12,6 +13,7 @@
 import yewyoke.message.Message;
 import yewyoke.message.Poll;
 import yewyoke.message.PollReply;
+import yewyoke.message.QuotaAsk;
 import yewyoke.replication.Peers;
 
 /**
@@ -57,6 +59,15 @@
         poll();
     }
 
+    /** Asks the primary that answered last. */
+    void ask(QuotaAsk ask, long timeoutMs, Consumer<Message> answer) {
+        if (epoch == 0 || target.isEmpty()) {
+            answer.accept(null);
+        } else {
+            peers.call(target, ask, timeoutMs, answer);
+        }
+    }
+
     /** Whether a configuration is in force and the upstreams were told. */
     boolean ready() {
         return generation > 0 && epoch > 0;
@@ -78,7 +89,6 @@
         poll.revision = revision;
         poll.complete = complete;
         poll.balancers = balancers;
-        poll.demand = router.quotas().demand(scheduler.now());
         peers.call(target, poll, TIMEOUT, this::answered);
     }
 
@@ -126,6 +136,5 @@
         }
         balancers = reply.balancers;
         router.balancers(reply.balancers);
-        router.quotas().share(reply.shares, reply.balancers, scheduler.now());
     }
 }
--- a/src/main/java/yewyoke/dataplane/DataCommand.java
+++ b/src/main/java/yewyoke/dataplane/DataCommand.java
@@ -15,11 +15,12 @@
 /** The command line of the data plane. */
 final class DataCommand {
     private static final int USAGE = 2;
-    private static final String WORDS = "yewyoke-data serve | check [FILE]";
+    private static final String WORDS = "yewyoke-data serve | check [FILE] | rehearse";
     private static final String FOOTER = """
 
             serve         serve with the settings that MYRTLELADDER_CONFIG names
             check [FILE]  check a settings file
+            rehearse      serve requests of its own on the loopback and end
 
             Exit codes: 0 done, 1 failed with a numbered result, 2 the command line is wrong.""";
 
@@ -48,6 +49,9 @@
     private static int carryOut(List<String> words) {
         switch (words.get(0)) {
             case "serve" -> serve();
+            case "rehearse" -> {
+                return rehearse();
+            }
             case "check" -> {
                 NodeSettings settings = words.size() > 1 ? NodeSettings.read(Path.of(words.get(1)))
                         : NodeSettings.fromEnvironment();
@@ -61,6 +65,15 @@
         return 0;
     }
 
+    private static int rehearse() {
+        try {
+            return Rehearsal.run() ? 0 : 1;
+        } catch (InterruptedException e) {
+            System.err.println(e);
+            return 1;
+        }
+    }
+
     private static void serve() {
         NodeSettings settings = NodeSettings.fromEnvironment();
         if (settings.frontend() == null || settings.readiness() == null || settings.seeds().isEmpty()) {
--- a/src/main/java/yewyoke/dataplane/Main.java
+++ b/src/main/java/yewyoke/dataplane/Main.java
@@ -24,7 +24,7 @@
     private static final long DRAIN_CHECK = 50;
 
     private final NodeSettings settings;
-    private final EventLoop loop = new EventLoop();
+    private final EventLoop loop;
     private final CountDownLatch ended = new CountDownLatch(1);
     private Router router;
     private ControlPoller poller;
@@ -32,8 +32,14 @@
     private long longestIdle;
     private boolean draining;
 
-    private Main(NodeSettings settings) {
+    private Main(NodeSettings settings, EventLoop loop) {
         this.settings = settings;
+        this.loop = loop;
+    }
+
+    /** Begins to serve on a loop that runs; called on the loop. */
+    static void beginOn(NodeSettings settings, EventLoop loop) {
+        new Main(settings, loop).begin();
     }
 
     /** Runs the program; see {@link DataCommand} for its words. */
@@ -43,7 +49,7 @@
 
     /** Serves until SIGTERM and the end of what is under way. */
     static void serve(NodeSettings settings) throws InterruptedException {
-        Main main = new Main(settings);
+        Main main = new Main(settings, new EventLoop());
         main.loop.start();
         main.loop.execute(main::begin);
         Signals.on("TERM", () -> main.loop.execute(main::drain));
@@ -55,7 +61,8 @@
     private void begin() {
         NodeSettings.Bounds bounds = settings.bounds();
         router = new Router(loop, new Connections(loop),
-                new RetryBudget(bounds.budgetRatio(), bounds.budgetSlack()), System.nanoTime());
+                new RetryBudget(bounds.budgetRatio(), bounds.budgetSlack()),
+                (ask, timeout, answer) -> poller.ask(ask, timeout, answer), System.nanoTime());
         List<String> seeds = settings.seeds().stream()
                 .map(s -> s.host() + ":" + settings.firstPort()).toList();
         poller = new ControlPoller(loop, new PeerClient(loop), router, settings.nodeName(), seeds);
--- /dev/null
+++ b/src/main/java/yewyoke/dataplane/Rehearsal.java
@@ -0,0 +1,137 @@
+package yewyoke.dataplane;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import yewyoke.io.EventLoop;
+import yewyoke.io.Headers;
+import yewyoke.io.HttpServer;
+import yewyoke.io.RequestHead;
+import yewyoke.io.ServerExchange;
+import yewyoke.message.InstanceRecord;
+import yewyoke.message.InstanceRecord.Stage;
+import yewyoke.message.Message;
+import yewyoke.message.Poll;
+import yewyoke.message.PollReply;
+import yewyoke.message.QuotaAsk;
+import yewyoke.message.QuotaGrant;
+import yewyoke.process.Address;
+import yewyoke.process.NodeSettings;
+import yewyoke.rpc.MessageServer;
+import yewyoke.rpc.OneCall;
+
+/**
+ * A balancer that serves itself on the loopback for a moment, with stand-ins for the control plane and for
+ * upstreams. The build runs it to learn which classes a start needs; they are kept in an archive.
+ */
+final class Rehearsal {
+    private static final long LONGEST = 10_000;
+    private static final long STEP = 500;
+    private static final int ROUNDS = 40;
+    private static final String HOST = "127.0.0.1";
+    private static final byte[] NO_BYTES = {};
+    private static final String DOCUMENT = "{\"generation\":3,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+            + "\"path_prefix\":\"/a/\",\"type\":\"streaming\",\"timeout_ms\":8000,\"backend\":\"s\","
+            + "\"retries\":2,\"resumable\":true,\"gap_aim_ms\":400},{\"name\":\"p\",\"hostname\":\"h\","
+            + "\"path_prefix\":\"/b/\",\"type\":\"non_idempotent\",\"timeout_ms\":800,\"backend\":\"p\"}],"
+            + "\"services\":[{\"name\":\"s\",\"engine\":{\"capacity\":64,\"kv_tokens\":9000,\"stride\":5}},"
+            + "{\"name\":\"p\",\"max_connections\":96}],\"limits\":{\"idle_timeout_ms\":15000},\"tenants\":[{"
+            + "\"name\":\"t\",\"api_keys\":[\"k\"],\"priority\":1,\"unit\":\"tokens\",\"rate_per_s\":1000,"
+            + "\"burst\":9.5}]}";
+
+    private final EventLoop loop = new EventLoop();
+    private final CountDownLatch done = new CountDownLatch(1);
+    private final int control = freePort();
+    private final int upstream = freePort();
+    private final int frontend = freePort();
+    private final int readiness = freePort();
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new yewyoke.io.IoException(yewyoke.io.ResultCode.NO_SOCKET, "no port is free", e);
+        }
+    }
+
+    /** Serves and ends; whether all of it was served. */
+    static boolean run() throws InterruptedException {
+        Rehearsal rehearsal = new Rehearsal();
+        rehearsal.loop.start();
+        rehearsal.loop.execute(rehearsal::begin);
+        return rehearsal.done.await(LONGEST, TimeUnit.MILLISECONDS);
+    }
+
+    private void begin() {
+        new MessageServer(loop, HOST, control, this::control);
+        new HttpServer(loop, HOST, upstream, this::upstream);
+        NodeSettings settings = new NodeSettings("n", "r", HOST, "z", "", control,
+                List.of(new Address(HOST, control)), false, 200, "", new Address(HOST, frontend),
+                new Address(HOST, readiness), null, 1, new NodeSettings.Limits(256, 1_024),
+                new NodeSettings.Bounds(2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 190_000));
+        Main.beginOn(settings, loop);
+        for (int i = 1; i <= ROUNDS; i++) {
+            loop.schedule(STEP + i * 20L, this::callAll);
+        }
+        loop.schedule(STEP + ROUNDS * 20L + STEP, done::countDown);
+    }
+
+    private void control(Message message, java.util.function.Consumer<Message> answer) {
+        if (message instanceof QuotaAsk ask) {
+            answer.accept(QuotaGrant.of(true, ask.units, 0));
+        } else if (message instanceof Poll poll && poll.generation == 0) {
+            PollReply reply = new PollReply();
+            reply.valid = true;
+            reply.epoch = 1;
+            reply.generation = 3;
+            reply.document = DOCUMENT.getBytes(StandardCharsets.UTF_8);
+            reply.whole = true;
+            reply.complete = true;
+            reply.balancers = 1;
+            reply.primary = HOST + ":" + control;
+            reply.members = List.of(reply.primary);
+            reply.instances = List.of(instance("i", "s"), instance("j", "p"));
+            answer.accept(reply);
+        }
+    }
+
+    private InstanceRecord instance(String id, String service) {
+        return InstanceRecord.of(id, service, HOST + ":" + upstream, "z", 64, "v1", Stage.READY, 1);
+    }
+
+    private void upstream(ServerExchange exchange) {
+        Headers headers = new Headers().add(Names.SIGNATURE, "x").add(Names.LOAD, "1,0,64")
+                .add(Names.ATTEMPT, String.valueOf(exchange.head().headers().get(Names.ATTEMPT)));
+        if (exchange.head().path().startsWith("/b/")) {
+            exchange.respond(200, headers, new byte[] {'o', 'k'});
+            return;
+        }
+        exchange.begin(200, headers.add("Content-Type", "text/event-stream"));
+        for (int id = 1; id <= 3; id++) {
+            byte[] event = ("id: " + id + "\ndata: x\n\n").getBytes(StandardCharsets.US_ASCII);
+            exchange.write(event, 0, event.length);
+        }
+        exchange.end();
+    }
+
+    private void callAll() {
+        call("/a/1", "1f:800,2b:410");
+        call("/b/1", null);
+        call("/c/1", null);
+        OneCall.send(loop, HOST, readiness, new RequestHead("GET", "/readyz", new Headers().add("Host", "h")),
+                NO_BYTES);
+    }
+
+    private void call(String path, String prefix) {
+        Headers headers = new Headers().add("Host", "h").add(Names.ATTEMPT, "a1b2")
+                .add(Names.DEADLINE, "5000").add(Names.AUTHORIZATION, "Token k");
+        if (prefix != null) {
+            headers.add(Names.PREFIX, prefix).add(Names.USAGE, "1210,80");
+        }
+        OneCall.send(loop, HOST, frontend, new RequestHead("POST", path, headers), new byte[] {'x'});
+    }
+}
--- a/src/main/java/yewyoke/dataplane/Router.java
+++ b/src/main/java/yewyoke/dataplane/Router.java
@@ -28,7 +28,7 @@
     private final Connections connections;
     private final Placement placement;
     private final Admission admission = new Admission();
-    private final TenantQuotas quotas = new TenantQuotas();
+    private final TenantQuotas quotas;
     private final RetryBudget budget;
     private final Counters counters = new Counters();
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
@@ -36,7 +36,9 @@
     private Configuration configuration;
     private long nextPeriod;
 
-    Router(Scheduler scheduler, Connections connections, RetryBudget budget, long seed) {
+    Router(Scheduler scheduler, Connections connections, RetryBudget budget, TenantQuotas.Bank bank,
+            long seed) {
+        this.quotas = new TenantQuotas(bank);
         this.scheduler = scheduler;
         this.connections = connections;
         this.directory = new UpstreamDirectory(u -> connections.closeIdle());
@@ -52,6 +54,7 @@
     private void tick() {
         scheduler.schedule(CHECK, this::tick);
         long now = now();
+        quotas.time(now);
         for (Exchange exchange : new ArrayList<>(exchanges)) {
             exchange.check(now);
         }
@@ -77,6 +80,7 @@
     void balancers(int count) {
         placement.balancers(count);
         budget.balancers(count);
+        quotas.balancers(count);
     }
 
     // ---- Requests ------------------------------------------------------------------------------------
@@ -113,16 +117,32 @@
     }
 
     private void admit(ServerExchange client, Route route, Tenant tenant) {
-        double cost = 0;
-        if (tenant != null) {
-            cost = TenantQuotas.cost(tenant, usage(client.head().headers().get(Names.USAGE)));
-            long wait = quotas.admit(tenant, cost, now());
-            if (wait > 0) {
-                counters.count(Counters.Event.OVER_QUOTA);
-                String pause = seconds(Math.min(LONGEST_QUOTA_PAUSE, wait));
-                client.respond(429, new Headers().add(Names.RETRY_AFTER, pause), NO_BYTES);
+        if (tenant == null) {
+            exchange(client, route, null, 0);
+            return;
+        }
+        double cost = TenantQuotas.cost(tenant, usage(client.head().headers().get(Names.USAGE)));
+        quotas.time(now());
+        quotas.admit(tenant, cost, now(), wait -> {
+            if (wait == 0) {
+                exchange(client, route, tenant, cost);
                 return;
             }
+            counters.count(Counters.Event.OVER_QUOTA);
+            String pause = seconds(Math.min(LONGEST_QUOTA_PAUSE, wait));
+            client.respond(429, new Headers().add(Names.RETRY_AFTER, pause), NO_BYTES);
+        });
+    }
+
+    /** Begins the exchange of a request that is allowed; the configuration may be newer by now. */
+    private void exchange(ServerExchange client, Route admitted, Tenant tenant, double cost) {
+        if (!client.open()) {
+            return;
+        }
+        Route route = configuration.route(client.head().headers().get("Host"), client.head().path());
+        if (route == null || !admitted.name().equals(route.name())) {
+            handle(client);
+            return;
         }
         Service service = configuration.service(serviceOf(route));
         budget.request(service.name());
--- a/src/main/java/yewyoke/dataplane/TenantQuotas.java
+++ b/src/main/java/yewyoke/dataplane/TenantQuotas.java
@@ -1,63 +1,65 @@
 package yewyoke.dataplane;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.function.LongConsumer;
 import yewyoke.configuration.Configuration;
 import yewyoke.configuration.Tenant;
-import yewyoke.message.TenantDemand;
-import yewyoke.message.TenantShare;
+import yewyoke.message.Message;
+import yewyoke.message.QuotaAsk;
+import yewyoke.message.QuotaGrant;
 
 /**
- * This balancer's part of the quotas. The control plane divides each quota by demand; out of touch with it, a
- * balancer falls back to a small equal part, since what it had may be given to others by then.
+ * The quotas as this balancer uses them. The primary grants what requests count; without an answer of it, a
+ * balancer goes on with an equal part of the quota for a short time, and with a small one from then on, since
+ * the others may be in touch and get the whole.
  */
 final class TenantQuotas {
-    private static final long TRUSTED = 10_000;
-    private static final double EQUAL_PART = 0.25;
-    private static final double DEMAND_SMOOTH = 0.25;
-    private static final double DEMAND_PERIOD = 1_000;
+    private static final long ANSWER = 250;
+    private static final long ASK_AGAIN = 400;
+    private static final long REMEMBER_EMPTY = 100;
+    private static final long FULL_PART_FOR = 4_000;
+    private static final double FULL_PART = 0.85;
+    private static final double SMALL_PART = 0.25;
+    private static final double FALLBACK_SECONDS = 0.5;
 
+    /** Where grants come from. */
+    interface Bank {
+        /** Asks the primary; the answer is null if none came in time. */
+        void ask(QuotaAsk ask, long timeoutMs, java.util.function.Consumer<Message> answer);
+    }
+
+    private final Bank bank;
     private final Map<String, Bucket> buckets = new HashMap<>();
-    private final Map<String, Double> shares = new HashMap<>();
     private int balancers = 1;
-    private long sharesAt;
+    private long silentSince = Long.MAX_VALUE;
+    private long askAgainAt;
+    private long clock;
 
     private static final class Bucket {
         Tenant tenant;
-        double tokens;
-        long filledAt;
-        double asked;
-        double demand;
-        long measuredAt;
+        double units;
+        long emptyUntil;
+        double fallback;
+        long fallbackAt;
+    }
+
+    TenantQuotas(Bank bank) {
+        this.bank = bank;
     }
 
     void use(Configuration configuration, long now) {
         Map<String, Bucket> before = new HashMap<>(buckets);
         buckets.clear();
         for (Tenant tenant : configuration.tenants()) {
-            Bucket bucket = before.get(tenant.name());
-            if (bucket == null) {
-                bucket = new Bucket();
-                bucket.filledAt = now;
-                bucket.measuredAt = now;
-            }
+            Bucket bucket = before.getOrDefault(tenant.name(), new Bucket());
             bucket.tenant = tenant;
             buckets.put(tenant.name(), bucket);
         }
     }
 
-    void share(List<TenantShare> told, int count, long now) {
+    void balancers(int count) {
         balancers = Math.max(1, count);
-        sharesAt = now;
-        told.forEach(s -> shares.put(s.tenant, s.share));
-    }
-
-    private double share(String tenant, long now) {
-        double equal = 1.0 / balancers;
-        double share = shares.getOrDefault(tenant, equal);
-        return now - sharesAt <= TRUSTED ? share : Math.min(share, EQUAL_PART * equal);
     }
 
     /** What a request counts. */
@@ -65,47 +67,64 @@
         return !tenant.countsTokens() ? 1 : usage > 0 ? usage : tenant.plainTokens();
     }
 
-    /** Takes a request into account; 0 if it is within the quota, else milliseconds until one would be. */
-    long admit(Tenant tenant, double cost, long now) {
+    /** Hands over 0 once the request is within the quota, or milliseconds until one would be. */
+    void admit(Tenant tenant, double cost, long now, LongConsumer decided) {
         Bucket bucket = buckets.get(tenant.name());
         if (bucket == null || tenant.ratePerSecond() <= 0) {
-            return 0;
+            decided.accept(0);
+        } else if (bucket.units >= cost) {
+            bucket.units -= cost;
+            decided.accept(0);
+        } else if (now < bucket.emptyUntil) {
+            decided.accept(bucket.emptyUntil - now);
+        } else if (now < askAgainAt) {
+            decided.accept(fallBack(bucket, cost, now));
+        } else {
+            bank.ask(QuotaAsk.of(tenant.name(), cost), ANSWER, answer -> answered(bucket, cost, answer, decided));
         }
-        bucket.asked += cost;
-        double share = share(tenant.name(), now);
-        double rate = tenant.ratePerSecond() * share;
-        double most = Math.max(tenant.burst() * share, rate);
-        bucket.tokens = Math.min(most, bucket.tokens + rate * (now - bucket.filledAt) / 1_000);
-        bucket.filledAt = now;
-        if (bucket.tokens > 0) {
-            bucket.tokens -= cost;
+    }
+
+    /** Tells the time; answers come between two calls. */
+    void time(long now) {
+        clock = Math.max(clock, now);
+    }
+
+    private void answered(Bucket bucket, double cost, Message answer, LongConsumer decided) {
+        if (!(answer instanceof QuotaGrant grant) || !grant.valid) {
+            silentSince = Math.min(silentSince, clock);
+            askAgainAt = clock + ASK_AGAIN;
+            decided.accept(fallBack(bucket, cost, clock));
+            return;
+        }
+        silentSince = Long.MAX_VALUE;
+        bucket.units += grant.units;
+        if (bucket.units >= cost) {
+            bucket.units -= cost;
+            decided.accept(0);
+            return;
+        }
+        bucket.emptyUntil = clock + Math.min(REMEMBER_EMPTY, grant.waitMs);
+        decided.accept(Math.max(1, grant.waitMs));
+    }
+
+    private long fallBack(Bucket bucket, double cost, long now) {
+        double part = now - silentSince <= FULL_PART_FOR ? FULL_PART : SMALL_PART;
+        double rate = bucket.tenant.ratePerSecond() * part / balancers;
+        double gained = rate * (now - Math.max(bucket.fallbackAt, silentSince)) / 1_000;
+        bucket.fallback = Math.min(rate * FALLBACK_SECONDS, bucket.fallback + Math.max(0, gained));
+        bucket.fallbackAt = now;
+        if (bucket.fallback >= 0) {
+            bucket.fallback -= cost;
             return 0;
         }
-        return Math.max(1, Math.round(-bucket.tokens / Math.max(rate, 1e-6) * 1_000));
+        return Math.max(1, Math.round(-bucket.fallback / Math.max(rate, 1e-6) * 1_000));
     }
 
     /** Gives back what a request that did not run was counted. */
     void giveBack(Tenant tenant, double cost) {
         Bucket bucket = buckets.get(tenant.name());
         if (bucket != null) {
-            bucket.tokens += cost;
+            bucket.units = Math.min(bucket.units + cost, 2 * cost);
         }
     }
-
-    /** The demand of clients, smoothed. */
-    List<TenantDemand> demand(long now) {
-        List<TenantDemand> demand = new ArrayList<>();
-        buckets.forEach((name, bucket) -> {
-            long span = now - bucket.measuredAt;
-            if (span >= DEMAND_PERIOD) {
-                double rate = bucket.asked * 1_000 / span;
-                bucket.demand = bucket.demand == 0 ? rate
-                        : bucket.demand + DEMAND_SMOOTH * (rate - bucket.demand);
-                bucket.asked = 0;
-                bucket.measuredAt = now;
-            }
-            demand.add(TenantDemand.of(name, bucket.demand));
-        });
-        return demand;
-    }
 }
--- a/src/main/java/yewyoke/message/Poll.java
+++ b/src/main/java/yewyoke/message/Poll.java
@@ -1,8 +1,5 @@
 package yewyoke.message;
 
-import java.util.ArrayList;
-import java.util.List;
-
 /** A balancer asks for all that is newer than what it has; the answer may wait for news. */
 public final class Poll implements Message {
     /** The balancer's incarnation. */
@@ -19,8 +16,6 @@
     public boolean complete;
     /** How many balancers there are as far as it knows. */
     public int balancers;
-    /** The demand of its clients. */
-    public List<TenantDemand> demand = new ArrayList<>();
     /** Whether news are wanted at once, even if there are none. */
     public boolean immediate;
 }
--- a/src/main/java/yewyoke/message/PollReply.java
+++ b/src/main/java/yewyoke/message/PollReply.java
@@ -27,6 +27,4 @@
     public List<InstanceRecord> instances = new ArrayList<>();
     /** How many balancers there are. */
     public int balancers;
-    /** The balancer's parts of quotas. */
-    public List<TenantShare> shares = new ArrayList<>();
 }
--- /dev/null
+++ b/src/main/java/yewyoke/message/QuotaAsk.java
@@ -0,0 +1,17 @@
+package yewyoke.message;
+
+/** A balancer asks the primary for units of a tenant's quota. */
+public final class QuotaAsk implements Message {
+    /** The tenant. */
+    public String tenant = "";
+    /** Units that a request counts. */
+    public double units;
+
+    /** Creates a message from its parts. */
+    public static QuotaAsk of(String tenant, double units) {
+        QuotaAsk message = new QuotaAsk();
+        message.tenant = tenant;
+        message.units = units;
+        return message;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewyoke/message/QuotaGrant.java
@@ -0,0 +1,20 @@
+package yewyoke.message;
+
+/** The answer to a {@link QuotaAsk}. */
+public final class QuotaGrant implements Message {
+    /** Whether the answering node is primary. */
+    public boolean valid;
+    /** Units granted, at least those asked for or none. */
+    public double units;
+    /** Without a grant, milliseconds until there may be one. */
+    public long waitMs;
+
+    /** Creates a message from its parts. */
+    public static QuotaGrant of(boolean valid, double units, long waitMs) {
+        QuotaGrant message = new QuotaGrant();
+        message.valid = valid;
+        message.units = units;
+        message.waitMs = waitMs;
+        return message;
+    }
+}
--- a/src/main/java/yewyoke/process/NodeSettings.java
+++ b/src/main/java/yewyoke/process/NodeSettings.java
@@ -23,7 +23,7 @@
 
     /** Figures of the rules. */
     public record Bounds(long drainMs, long configMs, long graceMs, double budgetRatio, long budgetWindowMs,
-            int budgetSlack, long contactMs) { }
+            int budgetSlack, long contactMs, double quotaOverage, double quotaSlack) { }
 
     /** Reads the file that the environment names. */
     public static NodeSettings fromEnvironment() {
@@ -71,7 +71,8 @@
         return new Bounds(node.path("drain_ms").asLong(2_000), node.path("config_ms").asLong(2_000),
                 Math.round(node.path("grace_s").asDouble(8) * 1_000), node.path("budget_ratio").asDouble(0.1),
                 Math.round(node.path("budget_window_s").asDouble(10) * 1_000),
-                node.path("budget_slack").asInt(0), node.path("contact_ms").asLong(3_000));
+                node.path("budget_slack").asInt(0), node.path("contact_ms").asLong(3_000),
+                node.path("quota_overage").asDouble(0), node.path("quota_slack").asDouble(0));
     }
 
     private static String text(JsonNode node, String name) {
--- a/src/main/java/yewyoke/replication/Candidacy.java
+++ b/src/main/java/yewyoke/replication/Candidacy.java
@@ -30,7 +30,7 @@
     private final boolean withTrial;
     private final long begunAt;
     private final Map<Member, Promise> promises = new HashMap<>();
-    private final Set<Member> asked = new HashSet<>();
+    private final Set<String> asked = new HashSet<>();
     private final Set<Member> accepted = new LinkedHashSet<>();
     private final Set<Member> installed = new LinkedHashSet<>();
     private Step step = Step.TRIAL;
@@ -92,7 +92,7 @@
         boolean trial = step == Step.TRIAL;
         long asking = epoch;
         for (Member member : members) {
-            if (member.equals(replica.self()) || !asked.add(member)) {
+            if (member.address.equals(replica.self().address) || !asked.add(member.address)) {
                 continue;
             }
             replica.peers().call(member.address, Prepare.of(asking, replica.self(), trial), ReplicaTimes.CALL,
@@ -100,7 +100,7 @@
                         if (answer instanceof Promise promise && promise.member != null) {
                             promised(promise, trial);
                         } else if (asking == epoch) {
-                            asked.remove(member);
+                            asked.remove(member.address);
                         }
                     });
         }
--- a/src/main/java/yewyoke/replication/Replica.java
+++ b/src/main/java/yewyoke/replication/Replica.java
@@ -75,6 +75,7 @@
     private int saving;
     private int joinTurn;
     private boolean leading;
+    private Member promisedTo;
     private Pending pending;
 
     /** A change on its way to the replicas. */
@@ -609,11 +610,16 @@
             answer.accept(promise(message.epoch > stored.promised && !hears));
             return;
         }
+        if (message.epoch == stored.promised && message.candidate.equals(promisedTo)) {
+            save(stored, ok -> answer.accept(ok ? promise(true) : null)); // asked again: the answer was lost
+            return;
+        }
         if (message.epoch <= stored.promised) {
             answer.accept(promise(false));
             return;
         }
         lastHeard = scheduler.now();
+        promisedTo = message.candidate;
         if (state == State.PRIMARY || state == State.CANDIDATE) {
             become(State.FOLLOWER, "epoch " + message.epoch + " is prepared by " + message.candidate);
         }
