--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -43,10 +43,10 @@
 public final class ControlPlane implements Replica.Listener {
     private static final Logger LOG = LogManager.getLogger(ControlPlane.class);
     private static final byte[] NO_BYTES = {};
-    private static final long HOLD_POLL = 1_000;
+    private static final long HOLD_POLL = 450;
     private static final long HOLD_ORDER = 900;
     private static final long SHARE = 500;
-    private static final long TICK = 250;
+    private static final long TICK = 100;
     private static final int SILENT_HEARTBEATS = 3;
     private static final String RETRY_AFTER = "0.2";
 
--- a/src/main/java/yewyoke/dataplane/ControlPoller.java
+++ b/src/main/java/yewyoke/dataplane/ControlPoller.java
@@ -1,8 +1,10 @@
 package yewyoke.dataplane;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -22,14 +24,16 @@
  */
 final class ControlPoller {
     private static final Logger LOG = LogManager.getLogger(ControlPoller.class);
-    private static final long TIMEOUT = 1_900;
-    private static final long PAUSE = 100;
+    private static final long TIMEOUT = 750; // the hold of a poll and what a round trip may take beyond it
+    private static final long PAUSE = 50;
+    private static final long AVOIDED = 3_000;
 
     private final Scheduler scheduler;
     private final Peers peers;
     private final Router router;
     private final String balancer;
     private final List<String> seeds;
+    private final Map<String, Long> avoidUntil = new HashMap<>();
     private List<String> members = List.of();
     private String target = "";
     private int turn;
@@ -96,14 +100,25 @@
         Set<String> all = new LinkedHashSet<>(members);
         all.addAll(seeds);
         List<String> list = new ArrayList<>(all);
+        for (int i = 0; i < list.size(); i++) {
+            String next = list.get(Math.floorMod(turn++, list.size()));
+            if (!avoided(next)) {
+                return next;
+            }
+        }
         return list.get(Math.floorMod(turn++, list.size()));
     }
 
+    private boolean avoided(String address) {
+        return scheduler.now() < avoidUntil.getOrDefault(address, 0L);
+    }
+
     private void answered(Message message) {
         if (leaving) {
             return;
         }
         if (!(message instanceof PollReply reply)) {
+            avoidUntil.put(target, scheduler.now() + AVOIDED);
             target = "";
             scheduler.schedule(PAUSE, this::poll);
             return;
@@ -112,7 +127,8 @@
             members = reply.members;
         }
         if (!reply.valid || reply.epoch < epoch) {
-            target = reply.primary.equals(target) ? "" : reply.primary;
+            boolean useless = reply.primary.equals(target) || avoided(reply.primary);
+            target = useless ? "" : reply.primary;
             scheduler.schedule(PAUSE, this::poll);
             return;
         }
