Let balancers repeat requests from the start, and watch each other on a ring

Seen in a test with scripted upstreams: a request that may be repeated was given up after its first upstream broke. Ruled out: the rule that a run may not be repeated, and the route's retries. Also: heartbeats among balancers to two monitors by ring position, told to the primary with polls; seeds are read again on SIGHUP and when no control node answers; a connection that ended while it was told to stand counts as not sent; the virtual disks of the test write in order, as the disk thread does.

--- a/src/main/java/yewyoke/control/BalancerDirectory.java
+++ b/src/main/java/yewyoke/control/BalancerDirectory.java
@@ -1,37 +1,72 @@
 package yewyoke.control;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import yewyoke.message.FleetMember;
 import yewyoke.message.Poll;
 
-/** The balancers that poll. */
+/** The balancers that live: those that poll, and those that their monitors on the ring hear. */
 final class BalancerDirectory {
     private static final long ALIVE = 3_500;
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private long revision;
 
-    /** When a balancer was heard, and how many balancers it knew of. */
-    private record Entry(long heardAt, int told) { }
+    private static final class Entry {
+        String address;
+        long heardAt;
+        int told;
+    }
 
-    /** Takes a poll. */
+    /** Takes a poll, with what the balancer hears of those that it monitors. */
     void heard(Poll poll, long now) {
+        for (String name : poll.alive) {
+            Entry monitored = entries.get(name);
+            if (monitored != null) {
+                monitored.heardAt = now;
+            }
+        }
         if (poll.leaving) {
-            entries.remove(poll.balancer);
-        } else {
-            entries.put(poll.balancer, new Entry(now, poll.balancers));
+            revision += entries.remove(poll.balancer) == null ? 0 : 1;
+            return;
         }
+        Entry entry = entries.get(poll.balancer);
+        if (entry == null || !entry.address.equals(poll.address)) {
+            entry = new Entry();
+            entry.address = poll.address;
+            entries.put(poll.balancer, entry);
+            revision++;
+        }
+        entry.heardAt = now;
+        entry.told = poll.balancers;
     }
 
-    /** Forgets balancers that are silent. */
+    /** Forgets balancers that nobody hears. */
     void expire(long now) {
-        entries.values().removeIf(e -> now - e.heardAt() > ALIVE);
+        if (entries.values().removeIf(e -> now - e.heardAt > ALIVE)) {
+            revision++;
+        }
+    }
+
+    /** Counts the changes of who lives. */
+    long revision() {
+        return revision;
+    }
+
+    /** Who lives. */
+    List<FleetMember> members() {
+        List<FleetMember> members = new ArrayList<>();
+        entries.forEach((name, entry) -> members.add(FleetMember.of(name, entry.address)));
+        return members;
     }
 
     /** How many balancers there are: those heard of, or as many as they knew before this node heard them. */
     int count(boolean recentlyPrimary) {
         int told = 0;
         for (Entry entry : entries.values()) {
-            told = Math.max(told, entry.told());
+            told = Math.max(told, entry.told);
         }
         return Math.max(1, recentlyPrimary ? Math.max(entries.size(), told) : entries.size());
     }
--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -457,6 +457,10 @@
         reply.whole = poll.epoch != reply.epoch || !poll.complete;
         reply.instances = registry.since(reply.whole ? 0 : poll.revision);
         reply.balancers = balancers.count(young);
+        reply.memberRevision = balancers.revision();
+        if (reply.whole || poll.memberRevision != reply.memberRevision) {
+            reply.balancerList = balancers.members();
+        }
         return reply;
     }
 }
--- a/src/main/java/yewyoke/dataplane/Attempt.java
+++ b/src/main/java/yewyoke/dataplane/Attempt.java
@@ -5,7 +5,7 @@
 import yewyoke.io.Scheduler;
 
 /** One send of a request to one upstream. */
-final class Attempt implements Connections.User {
+final class Attempt implements UpstreamLinks.User {
     private static final long CONNECT_TIMEOUT = 500;
 
     /** How far an attempt has come. */
@@ -37,7 +37,7 @@
     private final Scheduler scheduler;
     private final Scheduler.Timer connectTimer;
     private State state = State.CONNECTING;
-    private Connections.Link link;
+    private UpstreamLinks.Link link;
     private long sentAt;
     private boolean begun;
 
@@ -53,9 +53,9 @@
     }
 
     /** Asks for a connection, on which the request is sent. */
-    void start(Connections connections, boolean onlyFresh) {
+    void start(UpstreamLinks connections, boolean onlyFresh) {
         upstream.begins(this, scheduler.now());
-        Connections.Link used = connections.use(upstream, this, onlyFresh);
+        UpstreamLinks.Link used = connections.use(upstream, this, onlyFresh);
         if (state == State.CONNECTING) {
             link = used;
         }
@@ -110,12 +110,17 @@
         }
     }
 
-    @Override public void ready(Connections.Link used) {
+    @Override public void ready(UpstreamLinks.Link used) {
+        if (!used.ready()) {
+            used.close(); // it ended while its standing was told
+            refused();
+            return;
+        }
         link = used;
         connectTimer.cancel();
         sentAt = scheduler.now();
         state = State.SENT;
-        used.connection().send(head, body);
+        used.send(head, body);
     }
 
     @Override public void refused() {
--- a/src/main/java/yewyoke/dataplane/Connections.java
+++ b/src/main/java/yewyoke/dataplane/Connections.java
@@ -6,17 +6,18 @@
 import java.util.Map;
 import yewyoke.io.EventLoop;
 import yewyoke.io.HttpConnection;
+import yewyoke.io.RequestHead;
 import yewyoke.io.ResponseHead;
 
 /** Connections to upstreams, kept for later requests as long as the upstream keeps them. */
-final class Connections {
+final class Connections implements UpstreamLinks {
     private static final long LONGEST_REST = 4_000;
     private static final long FRESH_REST = 1_200;
     private static final long REST_MARGIN = 900;
     private static final int MOST_IDLE = 24;
 
     private final EventLoop loop;
-    private final Map<Upstream, ArrayDeque<Link>> idle = new HashMap<>();
+    private final Map<Upstream, ArrayDeque<Connection>> idle = new HashMap<>();
     private final Map<Upstream, Integer> open = new HashMap<>();
     private long opened;
 
@@ -24,33 +25,12 @@
         this.loop = loop;
     }
 
-    /** Who uses a connection for one request. */
-    interface User {
-        /** The connection stands; the request can be sent now. */
-        void ready(Link link);
-
-        /** No connection could be had; nothing was sent. */
-        void refused();
-
-        /** The head of the answer. */
-        void head(ResponseHead head);
-
-        /** A piece of the body. */
-        void body(byte[] bytes);
-
-        /** The answer is whole. */
-        void end();
-
-        /** The connection broke before the answer was whole. */
-        void broken();
-    }
-
-    int openTo(Upstream upstream) {
+    @Override public int openTo(Upstream upstream) {
         return open.getOrDefault(upstream, 0);
     }
 
-    int idleTo(Upstream upstream) {
-        ArrayDeque<Link> links = idle.get(upstream);
+    @Override public int idleTo(Upstream upstream) {
+        ArrayDeque<Connection> links = idle.get(upstream);
         return links == null ? 0 : links.size();
     }
 
@@ -58,11 +38,10 @@
         return opened;
     }
 
-    /** Finds or opens a connection; one that may not break unnoticed has to have been used lately. */
-    Link use(Upstream upstream, User user, boolean onlyFresh) {
-        ArrayDeque<Link> links = idle.computeIfAbsent(upstream, u -> new ArrayDeque<>());
+    @Override public Link use(Upstream upstream, User user, boolean onlyFresh) {
+        ArrayDeque<Connection> links = idle.computeIfAbsent(upstream, u -> new ArrayDeque<>());
         long now = loop.now();
-        Link link = links.pollLast();
+        Connection link = links.pollLast();
         while (link != null) {
             long rest = now - link.restingSince;
             if (link.connection.ready() && rest < (onlyFresh ? FRESH_REST : link.longestRest)) {
@@ -73,7 +52,7 @@
             link.close();
             link = links.pollLast();
         }
-        Link created = new Link(upstream, user);
+        Connection created = new Connection(upstream, user);
         open.merge(upstream, 1, Integer::sum);
         opened++;
         int colon = upstream.record().address.lastIndexOf(':');
@@ -83,12 +62,12 @@
     }
 
     /** Closes connections at rest whose time is over, and those to upstreams that take no more requests. */
-    void closeIdle() {
+    @Override public void closeIdle() {
         long now = loop.now();
-        for (ArrayDeque<Link> links : idle.values()) {
-            Iterator<Link> each = links.iterator();
+        for (ArrayDeque<Connection> links : idle.values()) {
+            Iterator<Connection> each = links.iterator();
             while (each.hasNext()) {
-                Link link = each.next();
+                Connection link = each.next();
                 if (now - link.restingSince >= link.longestRest || !link.upstream.ready()) {
                     each.remove();
                     link.close();
@@ -99,7 +78,7 @@
     }
 
     /** One connection to an upstream. */
-    final class Link implements HttpConnection.Listener {
+    private final class Connection implements Link, HttpConnection.Listener {
         private final Upstream upstream;
         private HttpConnection connection;
         private User user;
@@ -107,17 +86,20 @@
         private long longestRest = LONGEST_REST;
         private boolean counted = true;
 
-        private Link(Upstream upstream, User user) {
+        private Connection(Upstream upstream, User user) {
             this.upstream = upstream;
             this.user = user;
         }
 
-        HttpConnection connection() {
-            return connection;
+        @Override public boolean ready() {
+            return connection.ready();
+        }
+
+        @Override public void send(RequestHead head, byte[] body) {
+            connection.send(head, body);
         }
 
-        /** Gives the connection up; its user hears nothing more. */
-        void close() {
+        @Override public void close() {
             user = null;
             connection.close();
             uncount();
@@ -185,7 +167,7 @@
 
         @Override public void closed(boolean everConnected) {
             uncount();
-            ArrayDeque<Link> links = idle.get(upstream);
+            ArrayDeque<Connection> links = idle.get(upstream);
             if (links != null) {
                 links.remove(this);
             }
--- a/src/main/java/yewyoke/dataplane/ControlPoller.java
+++ b/src/main/java/yewyoke/dataplane/ControlPoller.java
@@ -7,11 +7,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import yewyoke.configuration.Configuration;
 import yewyoke.configuration.Json;
 import yewyoke.io.Scheduler;
+import yewyoke.membership.MembershipAgent;
 import yewyoke.message.Message;
 import yewyoke.message.Poll;
 import yewyoke.message.PollReply;
@@ -27,29 +29,44 @@
     private static final long TIMEOUT = 750; // the hold of a poll and what a round trip may take beyond it
     private static final long PAUSE = 50;
     private static final long AVOIDED = 3_000;
+    private static final int READ_SEEDS_AFTER = 6;
 
     private final Scheduler scheduler;
     private final Peers peers;
     private final Router router;
     private final String balancer;
-    private final List<String> seeds;
+    private final String address;
+    private final MembershipAgent agent;
+    private final Supplier<List<String>> seedSource;
+    private List<String> seeds;
     private final Map<String, Long> avoidUntil = new HashMap<>();
     private List<String> members = List.of();
     private String target = "";
     private int turn;
+    private int failures;
     private long epoch;
     private long generation;
     private long revision;
     private boolean complete;
     private int balancers;
+    private long memberRevision;
     private boolean leaving;
 
-    ControlPoller(Scheduler scheduler, Peers peers, Router router, String balancer, List<String> seeds) {
+    ControlPoller(Scheduler scheduler, Peers peers, Router router, String balancer, String address,
+            MembershipAgent agent, Supplier<List<String>> seedSource) {
         this.scheduler = scheduler;
         this.peers = peers;
         this.router = router;
         this.balancer = balancer;
-        this.seeds = seeds;
+        this.address = address;
+        this.agent = agent;
+        this.seedSource = seedSource;
+        this.seeds = seedSource.get();
+    }
+
+    /** Reads the seeds again. */
+    void readSeeds() {
+        seeds = seedSource.get();
     }
 
     /** Begins to poll. */
@@ -93,6 +110,9 @@
         poll.revision = revision;
         poll.complete = complete;
         poll.balancers = balancers;
+        poll.address = address;
+        poll.alive = agent.alive();
+        poll.memberRevision = memberRevision;
         peers.call(target, poll, TIMEOUT, this::answered);
     }
 
@@ -119,6 +139,9 @@
         }
         if (!(message instanceof PollReply reply)) {
             avoidUntil.put(target, scheduler.now() + AVOIDED);
+            if (++failures % READ_SEEDS_AFTER == 0) {
+                readSeeds();
+            }
             target = "";
             scheduler.schedule(PAUSE, this::poll);
             return;
@@ -132,6 +155,7 @@
             scheduler.schedule(PAUSE, this::poll);
             return;
         }
+        failures = 0;
         take(reply);
         poll();
     }
@@ -151,6 +175,10 @@
             LOG.info("generation {} is in force", generation);
         }
         balancers = reply.balancers;
+        memberRevision = reply.memberRevision;
+        if (!reply.balancerList.isEmpty()) {
+            agent.members(reply.balancerList);
+        }
         router.balancers(reply.balancers);
     }
 }
--- a/src/main/java/yewyoke/dataplane/Main.java
+++ b/src/main/java/yewyoke/dataplane/Main.java
@@ -9,8 +9,14 @@
 import yewyoke.io.Headers;
 import yewyoke.io.HttpServer;
 import yewyoke.io.ServerExchange;
+import yewyoke.io.SystemException;
+import yewyoke.membership.MembershipAgent;
+import yewyoke.message.Acknowledge;
+import yewyoke.message.Alive;
+import yewyoke.process.Address;
 import yewyoke.process.NodeSettings;
 import yewyoke.process.Signals;
+import yewyoke.rpc.MessageServer;
 import yewyoke.rpc.PeerClient;
 
 /** The data plane's program. */
@@ -22,24 +28,28 @@
     private static final long STILL_ACCEPTING = 2_500;
     private static final long GRACE_MARGIN = 700;
     private static final long DRAIN_CHECK = 50;
+    private static final long LAST_BYTES = 150;
 
     private final NodeSettings settings;
     private final EventLoop loop;
+    private final int internalPort;
     private final CountDownLatch ended = new CountDownLatch(1);
     private Router router;
     private ControlPoller poller;
     private HttpServer front;
     private long longestIdle;
     private boolean draining;
+    private long quietSince;
 
-    private Main(NodeSettings settings, EventLoop loop) {
+    private Main(NodeSettings settings, int internalPort, EventLoop loop) {
         this.settings = settings;
+        this.internalPort = internalPort;
         this.loop = loop;
     }
 
     /** Begins to serve on a loop that runs; called on the loop. */
-    static void beginOn(NodeSettings settings, EventLoop loop) {
-        new Main(settings, loop).begin();
+    static void beginOn(NodeSettings settings, int internalPort, EventLoop loop) {
+        new Main(settings, internalPort, loop).begin();
     }
 
     /** Runs the program; see {@link DataCommand} for its words. */
@@ -49,11 +59,11 @@
 
     /** Serves until SIGTERM and the end of what is under way. */
     static void serve(NodeSettings settings) throws InterruptedException {
-        Main main = new Main(settings, new EventLoop());
+        Main main = new Main(settings, settings.firstPort(), new EventLoop());
         main.loop.start();
         main.loop.execute(main::begin);
         Signals.on("TERM", () -> main.loop.execute(main::drain));
-        Signals.on("HUP", () -> main.loop.execute(() -> LOG.info("settings are read at each start only")));
+        Signals.on("HUP", () -> main.loop.execute(main::readSeeds));
         main.ended.await();
         Runtime.getRuntime().halt(0);
     }
@@ -63,9 +73,17 @@
         router = new Router(loop, new Connections(loop),
                 new RetryBudget(bounds.budgetRatio(), bounds.budgetSlack()),
                 (ask, timeout, answer) -> poller.ask(ask, timeout, answer), System.nanoTime());
-        List<String> seeds = settings.seeds().stream()
-                .map(s -> s.host() + ":" + settings.firstPort()).toList();
-        poller = new ControlPoller(loop, new PeerClient(loop), router, settings.nodeName(), seeds);
+        PeerClient peers = new PeerClient(loop);
+        MembershipAgent agent = new MembershipAgent(loop, peers, settings.nodeName());
+        poller = new ControlPoller(loop, peers, router, settings.nodeName(),
+                settings.ip() + ":" + internalPort, agent, this::seedsNow);
+        new MessageServer(loop, settings.ip(), internalPort, (message, answer) -> {
+            if (message instanceof Alive alive) {
+                agent.heard(alive);
+            }
+            answer.accept(Acknowledge.of(message instanceof Alive, 0, null));
+        });
+        agent.start();
         new HttpServer(loop, settings.readiness().host(), settings.readiness().port(), this::readiness);
         front = new HttpServer(loop, settings.frontend().host(), settings.frontend().port(), router::handle);
         router.start();
@@ -74,6 +92,21 @@
         LOG.info("balancer {} at {}", settings.nodeName(), settings.frontend());
     }
 
+    /** The seeds as the settings file has them now: it may change with no signal. */
+    private List<String> seedsNow() {
+        List<Address> seeds = settings.seeds();
+        try {
+            seeds = NodeSettings.fromEnvironment().seeds();
+        } catch (SystemException e) {
+            LOG.warn("the settings file is left: {}", e.getMessage());
+        }
+        return seeds.stream().map(s -> s.host() + ":" + settings.firstPort()).toList();
+    }
+
+    private void readSeeds() {
+        poller.readSeeds();
+    }
+
     private void readiness(ServerExchange exchange) {
         boolean ready = poller.ready() && !draining;
         exchange.respond(ready ? 200 : 503, new Headers(), NO_BYTES);
@@ -105,7 +138,8 @@
 
     private void awaitEnd(long earliest, long latest) {
         long now = loop.now();
-        if (now >= latest || now >= earliest && front.unanswered() == 0) {
+        quietSince = front.unanswered() > 0 ? now : quietSince;
+        if (now >= latest || now >= earliest && now - quietSince >= LAST_BYTES) {
             LOG.info("ends with {} under way; {}", router.underWay(), router.counters());
             ended.countDown();
             return;
--- a/src/main/java/yewyoke/dataplane/Placement.java
+++ b/src/main/java/yewyoke/dataplane/Placement.java
@@ -30,12 +30,12 @@
     private static final double BASE_MS = 8;
 
     private final UpstreamDirectory directory;
-    private final Connections connections;
+    private final UpstreamLinks connections;
     private final Map<String, WeightedSchedule> schedules = new HashMap<>();
     private double msPerToken = FIRST_MS_PER_TOKEN;
     private int balancers = 1;
 
-    Placement(UpstreamDirectory directory, Connections connections) {
+    Placement(UpstreamDirectory directory, UpstreamLinks connections) {
         this.directory = directory;
         this.connections = connections;
     }
--- a/src/main/java/yewyoke/dataplane/Rehearsal.java
+++ b/src/main/java/yewyoke/dataplane/Rehearsal.java
@@ -12,6 +12,7 @@
 import yewyoke.io.HttpServer;
 import yewyoke.io.RequestHead;
 import yewyoke.io.ServerExchange;
+import yewyoke.message.FleetMember;
 import yewyoke.message.InstanceRecord;
 import yewyoke.message.InstanceRecord.Stage;
 import yewyoke.message.Message;
@@ -73,7 +74,7 @@
                 List.of(new Address(HOST, control)), false, 200, "", new Address(HOST, frontend),
                 new Address(HOST, readiness), null, 1, new NodeSettings.Limits(256, 1_024),
                 new NodeSettings.Bounds(2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 190_000));
-        Main.beginOn(settings, loop);
+        Main.beginOn(settings, freePort(), loop);
         for (int i = 1; i <= ROUNDS; i++) {
             loop.schedule(STEP + i * 20L, this::callAll);
         }
@@ -94,6 +95,8 @@
             reply.balancers = 1;
             reply.primary = HOST + ":" + control;
             reply.members = List.of(reply.primary);
+            reply.balancerList = List.of(FleetMember.of("n", HOST + ":" + control),
+                    FleetMember.of("m", HOST + ":" + control));
             reply.instances = List.of(instance("i", "s"), instance("j", "p"));
             answer.accept(reply);
         }
--- a/src/main/java/yewyoke/dataplane/RetryBudget.java
+++ b/src/main/java/yewyoke/dataplane/RetryBudget.java
@@ -10,6 +10,7 @@
 final class RetryBudget {
     private static final double RATIO_USED = 0.7;
     private static final double SLACK_USED = 0.6;
+    private static final double FIRST_PART = 0.5; // of a balancer that starts: its last process used some
 
     private final double ratio;
     private final int slack;
@@ -31,12 +32,16 @@
 
     /** Counts a client's request for a service. */
     void request(String service) {
-        tokens.merge(service, ratio, (a, b) -> Math.min(most(), a + b));
+        tokens.put(service, Math.min(most(), left(service) + ratio));
+    }
+
+    private double left(String service) {
+        return tokens.getOrDefault(service, most() * FIRST_PART);
     }
 
     /** Takes a repeat out of the budget if it has one left. */
     boolean take(String service) {
-        double left = tokens.getOrDefault(service, most() / 2);
+        double left = left(service);
         if (left < 1) {
             return false;
         }
--- a/src/main/java/yewyoke/dataplane/Router.java
+++ b/src/main/java/yewyoke/dataplane/Router.java
@@ -25,7 +25,7 @@
 
     private final Scheduler scheduler;
     private final UpstreamDirectory directory;
-    private final Connections connections;
+    private final UpstreamLinks connections;
     private final Placement placement;
     private final Admission admission = new Admission();
     private final TenantQuotas quotas;
@@ -36,7 +36,7 @@
     private Configuration configuration;
     private long nextPeriod;
 
-    Router(Scheduler scheduler, Connections connections, RetryBudget budget, TenantQuotas.Bank bank,
+    Router(Scheduler scheduler, UpstreamLinks connections, RetryBudget budget, TenantQuotas.Bank bank,
             long seed) {
         this.quotas = new TenantQuotas(bank);
         this.scheduler = scheduler;
@@ -206,7 +206,7 @@
         return directory;
     }
 
-    Connections connections() {
+    UpstreamLinks connections() {
         return connections;
     }
 
--- a/src/main/java/yewyoke/message/MessageCodec.java
+++ b/src/main/java/yewyoke/message/MessageCodec.java
@@ -13,7 +13,7 @@
     private static final List<Class<? extends Message>> TYPES = List.of(StoredState.class, Prepare.class,
             Promise.class, Install.class, Accept.class, Replicate.class, Heartbeat.class, Resign.class,
             Acknowledge.class, Join.class, JoinReply.class, ShareInstances.class, Poll.class, PollReply.class,
-            QuotaAsk.class, QuotaGrant.class);
+            QuotaAsk.class, QuotaGrant.class, Alive.class);
     private static final int BUFFER = 1_024;
 
     private MessageCodec() { }
--- a/src/main/java/yewyoke/message/Poll.java
+++ b/src/main/java/yewyoke/message/Poll.java
@@ -1,9 +1,18 @@
 package yewyoke.message;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /** A balancer asks for all that is newer than what it has; the answer may wait for news. */
 public final class Poll implements Message {
     /** The balancer's incarnation. */
     public String balancer = "";
+    /** Host and port at which others of the fleet reach it. */
+    public String address = "";
+    /** Balancers that it monitors and hears. */
+    public List<String> alive = new ArrayList<>();
+    /** The revision of the list of balancers that it has, within the epoch. */
+    public long memberRevision;
     /** Whether it is about to end. */
     public boolean leaving;
     /** The epoch of the last answer, 0 before the first. */
--- a/src/main/java/yewyoke/message/PollReply.java
+++ b/src/main/java/yewyoke/message/PollReply.java
@@ -25,6 +25,10 @@
     public boolean complete;
     /** Upstreams, all or those that changed. */
     public List<InstanceRecord> instances = new ArrayList<>();
+    /** The revision of the list of balancers. */
+    public long memberRevision;
+    /** The balancers, empty if the asking one has them. */
+    public List<FleetMember> balancerList = new ArrayList<>();
     /** How many balancers there are. */
     public int balancers;
 }
--- a/src/main/java/yewyoke/process/NodeSettings.java
+++ b/src/main/java/yewyoke/process/NodeSettings.java
@@ -25,7 +25,7 @@
     public record Bounds(long drainMs, long configMs, long graceMs, double budgetRatio, long budgetWindowMs,
             int budgetSlack, long contactMs, double quotaOverage, double quotaSlack) { }
 
-    /** Reads the file that the environment names. */
+    /** Reads the file that the environment names; the file may have changed since the start. */
     public static NodeSettings fromEnvironment() {
         String file = System.getenv(VARIABLE);
         if (file == null || file.isEmpty()) {
--- /dev/null
+++ b/src/test/java/yewyoke/dataplane/ExchangeTest.java
@@ -0,0 +1,315 @@
+package yewyoke.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import yewyoke.configuration.Configuration;
+import yewyoke.configuration.Json;
+import yewyoke.dataplane.ScriptedLinks.Sent;
+import yewyoke.message.InstanceRecord;
+import yewyoke.message.InstanceRecord.Stage;
+import yewyoke.message.QuotaGrant;
+import yewyoke.replication.ManualScheduler;
+
+/** Requests from arrival to final answer, with scripted upstreams on a manual clock. */
+class ExchangeTest {
+    private static final String DOCUMENT = ("{'generation':7,'routes':["
+            + "{'name':'s','hostname':'h.example','path_prefix':'/s/','type':'streaming','timeout_ms':8000,"
+            + "'target_latency_ms':600,'priority':1,'backend':'m','retries':2,'resumable':true,"
+            + "'gap_aim_ms':400},"
+            + "{'name':'n','hostname':'h.example','path_prefix':'/n/','type':'streaming','timeout_ms':5000,"
+            + "'target_latency_ms':600,'backend':'m','retries':1,'resumable':false},"
+            + "{'name':'u','hostname':'h.example','path_prefix':'/u/','type':'non_idempotent',"
+            + "'timeout_ms':1000,'backend':'p','retries':2},"
+            + "{'name':'i','hostname':'h.example','path_prefix':'/i/','type':'idempotent','timeout_ms':1000,"
+            + "'backend':'p','retries':2},"
+            + "{'name':'o','hostname':'h.example','path_prefix':'/o/','type':'idempotent','timeout_ms':1000,"
+            + "'backend':'p','retries':2,'public':true}],"
+            + "'services':[{'name':'m','engine':{'capacity':64,'kv_tokens':500000,'stride':5}},{'name':'p'}],"
+            + "'tenants':[{'name':'t1','api_keys':['k1'],'priority':1,'unit':'tokens','plain_tokens':200,"
+            + "'rate_per_s':1000,'burst':1000}]}").replace('\'', '"');
+
+    private final ManualScheduler clock = new ManualScheduler();
+    private final ScriptedLinks links = new ScriptedLinks();
+    private QuotaGrant grant = QuotaGrant.of(true, 1_000_000, 0);
+    private Router router;
+
+    @BeforeEach
+    void start() {
+        router = new Router(clock, links, new RetryBudget(0.2, 100), (ask, timeout, answer) -> answer.accept(grant),
+                1);
+        router.use(Configuration.read(Json.readObject(DOCUMENT.getBytes(StandardCharsets.UTF_8))));
+        List<InstanceRecord> records = new ArrayList<>();
+        for (String service : new String[] {"m", "p"}) {
+            for (int i = 1; i <= 3; i++) {
+                records.add(record(service + i, service, Stage.READY));
+            }
+        }
+        router.directory().take(records, true);
+        router.start();
+    }
+
+    private static InstanceRecord record(String id, String service, Stage stage) {
+        return InstanceRecord.of(id, service, "10.0.0.1:80", "z", 64, "v1", stage, 1);
+    }
+
+    private ScriptedClient request(String path, String... fields) {
+        ScriptedClient client = new ScriptedClient(path, fields);
+        router.handle(client);
+        return client;
+    }
+
+    @Test
+    void theRequestIsSentOnWithWhatTheUpstreamHasToKnow() {
+        request("/s/1", Names.TENANT, "forged", "Connection", "X-Hop", "X-Hop", "1", "X-Other", "2",
+                Names.LAST_EVENT, "12");
+        Sent sent = links.last();
+        assertEquals("/s/1", sent.head.target());
+        assertEquals("t1", sent.header(Names.TENANT));
+        assertEquals(sent.upstream.record().id, sent.header(Names.INSTANCE));
+        assertEquals("8000", sent.header(Names.DEADLINE));
+        assertEquals("4", sent.header(Names.PRIORITY));
+        assertEquals("a1", sent.header(Names.ATTEMPT));
+        assertEquals("2", sent.header("X-Other"));
+        assertEquals("12", sent.header(Names.LAST_EVENT));
+        assertNull(sent.header("X-Hop"));
+        assertNull(sent.header(Names.AUTHORIZATION));
+    }
+
+    @Test
+    void unknownRoutesAndKeysAreRefusedAndPublicRoutesNeedNone() {
+        assertEquals(404, request("/x/").status);
+        assertEquals(401, request("/s/1", Names.AUTHORIZATION, "Token other").status);
+        assertEquals(0, links.sent.size());
+        request("/o/1", Names.AUTHORIZATION, "none", Names.TENANT, "forged");
+        assertNull(links.last().header(Names.TENANT));
+    }
+
+    @Test
+    void whatIsOverTheQuotaIsToldWhenToComeBack() {
+        grant = QuotaGrant.of(true, 0, 700);
+        ScriptedClient client = request("/s/1", Names.USAGE, "1400,80");
+        assertEquals(429, client.status);
+        assertEquals("0.700", client.headers.get(Names.RETRY_AFTER));
+        assertEquals(0, links.sent.size());
+    }
+
+    @Test
+    void eventsAreForwardedAsTheyArriveAndOnlyWhole() {
+        ScriptedClient client = request("/s/1");
+        Sent sent = links.last();
+        sent.head(200, "Content-Type", "text/event-stream");
+        assertEquals(0, client.answers);
+        sent.bytes("id: 1\ndata: a");
+        assertEquals("", client.body.toString());
+        sent.bytes("\n\nid: 2\n");
+        assertEquals("id: 1\ndata: a\n\n", client.body.toString());
+        sent.bytes("data: b\n\n");
+        sent.end();
+        assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", client.body.toString());
+        assertTrue(client.ended && !client.aborted);
+        assertEquals("sig", client.headers.get(Names.SIGNATURE));
+    }
+
+    @Test
+    void aResumableStreamGoesOnAtAnotherUpstreamInsideOneAnswer() {
+        ScriptedClient client = request("/s/1");
+        Sent first = links.last();
+        first.head(200);
+        first.event(1);
+        first.event(2);
+        first.bytes("id: 3\nda");
+        first.broken();
+        Sent second = links.last();
+        assertTrue(second.upstream != first.upstream);
+        assertEquals("2", second.header(Names.LAST_EVENT));
+        second.head(200, Names.SIGNATURE, "other");
+        second.event(2);
+        second.event(3);
+        second.end();
+        assertEquals("id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\n", client.body.toString());
+        assertEquals("sig", client.headers.get(Names.SIGNATURE));
+        assertEquals(1, client.answers);
+        assertTrue(client.ended);
+    }
+
+    @Test
+    void aStreamThatMayNotBeResumedIsBrokenOffWithItsUpstream() {
+        ScriptedClient client = request("/n/1");
+        links.last().head(200);
+        links.last().event(1);
+        links.last().broken();
+        assertEquals(1, links.sent.size());
+        assertTrue(client.aborted);
+        assertFalse(client.ended);
+    }
+
+    @Test
+    void aRequestThatMayHaveRunIsNotRepeatedUnlessItMay() {
+        ScriptedClient unsafe = request("/u/1");
+        links.last().broken();
+        assertEquals(1, links.sent.size());
+        assertEquals(502, unsafe.status);
+        ScriptedClient safe = request("/i/1");
+        links.last().broken();
+        assertEquals(3, links.sent.size());
+        links.last().head(200);
+        links.last().bytes("ok");
+        links.last().end();
+        assertEquals(200, safe.status);
+        assertEquals("ok", safe.body.toString());
+    }
+
+    @Test
+    void aRejectionIsRepeatedElsewhereAndElseARefusal() {
+        ScriptedClient client = request("/u/1");
+        links.last().reject();
+        assertEquals(2, links.sent.size());
+        links.last().reject();
+        assertEquals(2, links.sent.size());
+        assertEquals(503, client.status);
+        assertNotNull(client.headers.get(Names.RETRY_AFTER));
+    }
+
+    @Test
+    void afterARunThatBrokeARejectionIsNoPromise() {
+        ScriptedClient client = request("/i/1");
+        links.last().broken();
+        links.last().reject();
+        assertEquals(502, client.status);
+    }
+
+    @Test
+    void anIncarnationThatIsNotAtItsAddressIsForgotten() {
+        ScriptedClient client = request("/u/1");
+        Sent first = links.last();
+        first.head(421, Names.SIGNATURE, "", "Myrtleladder-Upstream-Id", "i-other");
+        assertFalse(router.directory().ready("p").contains(first.upstream));
+        links.last().head(200);
+        links.last().end();
+        assertEquals(200, client.status);
+    }
+
+    @Test
+    void anAnswerToAnotherRequestIsNotPassedOn() {
+        ScriptedClient client = request("/u/1");
+        links.last().head(200, Names.ATTEMPT, "someone-else");
+        assertTrue(links.last().closed);
+        assertEquals(502, client.status);
+        assertEquals("", client.body.toString());
+    }
+
+    @Test
+    void anAnswerWithoutSignatureIsNoSuccess() {
+        ScriptedClient client = request("/u/1");
+        Sent sent = links.last();
+        sent.user.head(new yewyoke.io.ResponseHead(200,
+                new yewyoke.io.Headers().add(Names.ATTEMPT, "a1"), true));
+        assertEquals(502, client.status);
+    }
+
+    @Test
+    void aFailureKeepsItsStatusWithItsSignature() {
+        ScriptedClient client = request("/u/1");
+        links.last().head(500);
+        links.last().bytes("why");
+        links.last().end();
+        assertEquals(500, client.status);
+        assertEquals("sig", client.headers.get(Names.SIGNATURE));
+    }
+
+    @Test
+    void withoutAConnectionNothingWasSentAndItIsARefusal() {
+        links.refuses = true;
+        ScriptedClient client = request("/u/1");
+        assertEquals(0, links.sent.size());
+        assertEquals(503, client.status);
+    }
+
+    @Test
+    void aConnectionThatDoesNotComeUpIsGivenUpForAnother() {
+        links.dark = true;
+        ScriptedClient client = request("/u/1");
+        clock.run(400);
+        assertEquals(0, client.answers);
+        links.dark = false;
+        clock.run(200);
+        assertEquals(1, links.sent.size());
+        links.last().head(200);
+        links.last().end();
+        assertEquals(200, client.status);
+    }
+
+    @Test
+    void theDeadlineEndsARequestAtOnce() {
+        ScriptedClient client = request("/u/1", Names.DEADLINE, "300");
+        assertEquals("300", links.last().header(Names.DEADLINE));
+        clock.run(320);
+        assertEquals(504, client.status);
+        assertTrue(links.last().closed);
+    }
+
+    @Test
+    void aSilentUpstreamIsLeftForAnotherIfTheRequestMayBeRepeated() {
+        ScriptedClient repeatable = request("/s/1");
+        Sent silent = links.last();
+        clock.run(900);
+        assertEquals(2, links.sent.size());
+        assertTrue(silent.closed);
+        links.last().head(200);
+        links.last().event(1);
+        links.last().end();
+        assertTrue(repeatable.ended);
+        request("/n/1");
+        clock.run(900);
+        assertEquals(3, links.sent.size());
+    }
+
+    @Test
+    void aClientThatLeavesEndsItsAttempt() {
+        ScriptedClient client = request("/s/1");
+        client.leave();
+        assertTrue(links.last().closed);
+        assertEquals(0, client.answers);
+        assertEquals(0, router.underWay());
+    }
+
+    @Test
+    void aDrainingUpstreamGetsNothingMoreAndNeverComesBack() {
+        router.directory().take(List.of(record("p1", "p", Stage.DRAINING), record("p2", "p", Stage.GONE)), false);
+        router.directory().take(List.of(record("p1", "p", Stage.READY)), false);
+        for (int i = 0; i < 5; i++) {
+            request("/u/" + i);
+            assertEquals("p3", links.last().upstream.record().id);
+        }
+    }
+
+    @Test
+    void requestsOfOneSubjectMeetAtOneUpstream() {
+        for (int i = 0; i < 10; i++) {
+            request("/s/" + i, Names.PREFIX, "5c1e07a2:8000,b" + i + ":50", Names.USAGE, "8050,10");
+            links.last().head(200);
+            links.last().event(1);
+            links.last().end();
+        }
+        assertEquals(1, links.sent.stream().map(s -> s.upstream).distinct().count());
+    }
+
+    @Test
+    void whatCannotBeginInTimeIsRefusedAtOnce() {
+        int refused = 0;
+        for (int i = 0; i < 40; i++) {
+            ScriptedClient client = request("/s/" + i, Names.PREFIX, "c" + i + ":20000", Names.USAGE, "20000,10");
+            refused += client.status == 503 ? 1 : 0;
+        }
+        assertTrue(refused > 0 && refused < 40, "refused " + refused);
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/dataplane/ScriptedClient.java
@@ -0,0 +1,78 @@
+package yewyoke.dataplane;
+
+import yewyoke.io.Headers;
+import yewyoke.io.RequestHead;
+import yewyoke.io.ServerExchange;
+
+/** A client's request and what came back. */
+final class ScriptedClient implements ServerExchange {
+    private final RequestHead head;
+    private Runnable onGone;
+    private boolean open = true;
+    int status;
+    Headers headers;
+    final StringBuilder body = new StringBuilder();
+    boolean ended;
+    boolean aborted;
+    int answers;
+
+    ScriptedClient(String path, String... fields) {
+        Headers sent = new Headers().add("Host", "h.example").add(Names.ATTEMPT, "a1")
+                .add(Names.AUTHORIZATION, "Token k1").add(Names.DEADLINE, "8000");
+        for (int i = 0; i < fields.length; i += 2) {
+            sent.set(fields[i], fields[i + 1]);
+        }
+        head = new RequestHead("POST", path, sent);
+    }
+
+    @Override public RequestHead head() {
+        return head;
+    }
+
+    @Override public byte[] body() {
+        return new byte[] {'b'};
+    }
+
+    @Override public String caller() {
+        return "client";
+    }
+
+    @Override public void respond(int code, Headers answer, byte[] bytes) {
+        answers++;
+        status = code;
+        headers = answer;
+        body.append(new String(bytes));
+        ended = true;
+    }
+
+    @Override public void begin(int code, Headers answer) {
+        answers++;
+        status = code;
+        headers = answer;
+    }
+
+    @Override public void write(byte[] bytes, int offset, int length) {
+        body.append(new String(bytes, offset, length));
+    }
+
+    @Override public void end() {
+        ended = true;
+    }
+
+    @Override public void abort() {
+        aborted = true;
+    }
+
+    @Override public boolean open() {
+        return open;
+    }
+
+    @Override public void onGone(Runnable task) {
+        onGone = task;
+    }
+
+    void leave() {
+        open = false;
+        onGone.run();
+    }
+}
--- a/src/test/java/yewyoke/replication/VirtualCluster.java
+++ b/src/test/java/yewyoke/replication/VirtualCluster.java
@@ -63,6 +63,7 @@
         long frozenUntil;
         long syncMs = 5;
         boolean diskFull;
+        private long savedBy;
 
         Node(String address, String control) {
             this.address = address;
@@ -71,6 +72,7 @@
 
         void start(boolean bootstrap) {
             incarnation++;
+            savedBy = 0;
             up = true;
             int mine = incarnation;
             StoredState stored = disk == null ? null : (StoredState) MessageCodec.decode(disk);
@@ -94,7 +96,9 @@
         @Override public void save(StoredState state, Consumer<Boolean> done) {
             byte[] bytes = MessageCodec.encode(state);
             int mine = incarnation;
-            clock.schedule(syncMs + random.nextInt(3), () -> after(mine, () -> {
+            // One save after the other, as the disk's thread does them.
+            savedBy = Math.max(savedBy, clock.now()) + syncMs + random.nextInt(3);
+            clock.schedule(savedBy - clock.now(), () -> after(mine, () -> {
                 if (!diskFull) {
                     disk = bytes;
                 }
