--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import yewyoke.configuration.Compression;
 import yewyoke.configuration.ConfigurationDocument;
 import yewyoke.configuration.ConfigurationException;
 import yewyoke.configuration.Json;
@@ -251,8 +252,7 @@
             return;
         }
         try {
-            ConfigurationDocument current =
-                    ConfigurationDocument.stored(committed.document, committed.generation);
+            ConfigurationDocument current = document();
             ConfigurationDocument next = method.equals("PUT") ? current.replacedBy(exchange.body())
                     : current.changedBy(exchange.body());
             submit(order, next);
@@ -263,7 +263,7 @@
     }
 
     private void submit(Order order, ConfigurationDocument next) {
-        replica.submit(next.bytes(), next.generation(), order.digest(), taken -> {
+        replica.submit(Compression.deflate(next.bytes()), next.generation(), order.digest(), taken -> {
             if (taken) {
                 commit(true);
                 LOG.info("generation {} is committed in epoch {}", committed.generation, replica.epoch());
@@ -280,11 +280,14 @@
         boolean first = byOrder && committed.generation == 0;
         committed = replica.snapshot();
         if (committed.generation > 0) {
-            bank.use(ConfigurationDocument.stored(committed.document, committed.generation).configuration(),
-                    first, scheduler.now());
+            bank.use(document().configuration(), first, scheduler.now());
         }
     }
 
+    private ConfigurationDocument document() {
+        return ConfigurationDocument.stored(Compression.inflate(committed.document), committed.generation);
+    }
+
     private byte[] acknowledged() {
         return Json.write(Map.of("generation", committed.generation));
     }
@@ -293,7 +296,7 @@
         if (committed.generation == 0) {
             exchange.respond(404, new Headers(), NO_BYTES);
         } else {
-            exchange.respond(200, json(), committed.document);
+            exchange.respond(200, json(), Compression.inflate(committed.document));
         }
     }
 
--- a/src/main/java/yewyoke/dataplane/ControlPoller.java
+++ b/src/main/java/yewyoke/dataplane/ControlPoller.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import yewyoke.configuration.Compression;
 import yewyoke.configuration.Configuration;
 import yewyoke.configuration.Json;
 import yewyoke.io.Scheduler;
@@ -169,7 +170,7 @@
         revision = reply.revision;
         router.directory().take(reply.instances, reply.whole && reply.complete);
         if (reply.generation > generation && reply.document.length > 0) {
-            Configuration next = Configuration.read(Json.readObject(reply.document));
+            Configuration next = Configuration.read(Json.readObject(Compression.inflate(reply.document)));
             router.use(next);
             generation = reply.generation;
             LOG.info("generation {} is in force", generation);
--- a/src/main/java/yewyoke/dataplane/Rehearsal.java
+++ b/src/main/java/yewyoke/dataplane/Rehearsal.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import yewyoke.configuration.Compression;
 import yewyoke.io.EventLoop;
 import yewyoke.io.Headers;
 import yewyoke.io.HttpServer;
@@ -89,7 +90,7 @@
             reply.valid = true;
             reply.epoch = 1;
             reply.generation = 3;
-            reply.document = DOCUMENT.getBytes(StandardCharsets.UTF_8);
+            reply.document = Compression.deflate(DOCUMENT.getBytes(StandardCharsets.UTF_8));
             reply.whole = true;
             reply.complete = true;
             reply.balancers = 1;
--- a/src/main/java/yewyoke/message/PollReply.java
+++ b/src/main/java/yewyoke/message/PollReply.java
@@ -15,7 +15,7 @@
     public long epoch;
     /** The number of the configuration. */
     public long generation;
-    /** The document, empty if the balancer has it. */
+    /** The document, compressed; empty if the balancer has it. */
     public byte[] document = {};
     /** The revision of the upstreams. */
     public long revision;
--- a/src/main/java/yewyoke/message/Snapshot.java
+++ b/src/main/java/yewyoke/message/Snapshot.java
@@ -5,7 +5,7 @@
 
 /** The replicated state: the operator's document and the orders that were taken. */
 public final class Snapshot {
-    /** The document as JSON, empty before the first. */
+    /** The document as compressed JSON, empty before the first. */
     public byte[] document = {};
     /** The operator's number of the document. */
     public long generation;
