Learn the speed of reading prompts by its median; tests of the control plane

Seen in review: a single answer whose prompt others had cached let the speed fall by 30%, so estimates lost their meaning. Change: steps of 3% to the median; what an answer took beyond our own requests counts as the upstream's delay, not what they explain. A primary that is deposed answers those who wait for its confirmation at once (test).

--- a/src/main/java/yewyoke/dataplane/Attempt.java
+++ b/src/main/java/yewyoke/dataplane/Attempt.java
@@ -32,7 +32,7 @@
     private final Upstream upstream;
     private final RequestHead head;
     private final byte[] body;
-    private final int tokens;
+    private final Placement.Pick pick;
     private final Listener listener;
     private final Scheduler scheduler;
     private final Scheduler.Timer connectTimer;
@@ -41,12 +41,11 @@
     private long sentAt;
     private boolean begun;
 
-    Attempt(Upstream upstream, RequestHead head, byte[] body, int tokens, Scheduler scheduler,
-            Listener listener) {
-        this.upstream = upstream;
+    Attempt(Placement.Pick pick, RequestHead head, byte[] body, Scheduler scheduler, Listener listener) {
+        this.upstream = pick.upstream();
+        this.pick = pick;
         this.head = head;
         this.body = body;
-        this.tokens = tokens;
         this.scheduler = scheduler;
         this.listener = listener;
         this.connectTimer = scheduler.schedule(CONNECT_TIMEOUT, this::connectTimedOut);
@@ -74,12 +73,17 @@
     }
 
     int tokens() {
-        return tokens;
+        return pick.tokensToRead();
+    }
+
+    /** How long the first event may take by what this balancer had sent there. */
+    double explainedMs() {
+        return pick.ownMs();
     }
 
     /** Tokens that the upstream has yet to read before this answer begins. */
     long pendingTokens() {
-        return begun || state == State.ENDED ? 0 : tokens;
+        return begun || state == State.ENDED ? 0 : pick.tokensToRead();
     }
 
     /** The first event has come. */
--- a/src/main/java/yewyoke/dataplane/Exchange.java
+++ b/src/main/java/yewyoke/dataplane/Exchange.java
@@ -106,7 +106,7 @@
         whole.reset();
         RequestHead head = new RequestHead(client.head().method(), client.head().target(),
                 headers(upstream, now));
-        current = new Attempt(upstream, head, client.body(), pick.tokensToRead(), router.scheduler(), this);
+        current = new Attempt(pick, head, client.body(), router.scheduler(), this);
         current.start(router.connections(), !route.repeatable());
     }
 
@@ -228,8 +228,7 @@
         if (attempt.upstream().own() == 1) {
             router.placement().learnSpeed(attempt.tokens(), took);
         }
-        double explained = attempt.tokens() * router.placement().msPerToken();
-        attempt.upstream().delayed(Math.max(0, took - explained), now);
+        attempt.upstream().delayed(Math.max(0, took - attempt.explainedMs()), now);
         attempt.begun();
         attempt.upstream().memory().sent(prompt, now);
     }
--- a/src/main/java/yewyoke/dataplane/Placement.java
+++ b/src/main/java/yewyoke/dataplane/Placement.java
@@ -25,8 +25,7 @@
     private static final double MOST_MS_PER_TOKEN = 0.2;
     private static final double WAITING_MS = 40;
     private static final int MEASURED_TOKENS = 1_500;
-    private static final double FALL = 0.3;
-    private static final double RISE = 0.01;
+    private static final double SPEED_STEP = 0.03;
     private static final double BASE_MS = 8;
 
     private final UpstreamDirectory directory;
@@ -40,8 +39,8 @@
         this.connections = connections;
     }
 
-    /** An upstream with what a request would find there. */
-    record Pick(Upstream upstream, int tokensToRead, double expectedMs) { }
+    /** An upstream with what a request would find there; {@code ownMs} is the part that our requests explain. */
+    record Pick(Upstream upstream, int tokensToRead, double expectedMs, double ownMs) { }
 
     void balancers(int count) {
         balancers = Math.max(1, count);
@@ -65,8 +64,9 @@
             return;
         }
         double sample = Math.max(0, tookMs - BASE_MS) / tokens;
-        double bounded = Math.max(LEAST_MS_PER_TOKEN, Math.min(MOST_MS_PER_TOKEN, sample));
-        msPerToken += (bounded < msPerToken ? FALL : RISE) * (bounded - msPerToken);
+        // Steps lead to the median: what others had cached or had under way there spoils single samples.
+        double step = sample > msPerToken ? 1 + SPEED_STEP : 1 - SPEED_STEP;
+        msPerToken = Math.max(LEAST_MS_PER_TOKEN, Math.min(MOST_MS_PER_TOKEN, msPerToken * step));
     }
 
     /** Picks an upstream of a service, null if none can take the request now. */
@@ -110,7 +110,7 @@
         open.forEach(u -> u.refresh(now));
         Upstream picked = schedule(service).pick(open);
         double line = Math.max(0, picked.inFlight() + 1 - picked.capacity());
-        return new Pick(picked, 0, line / picked.capacity() * picked.took());
+        return new Pick(picked, 0, line / picked.capacity() * picked.took(), 0);
     }
 
     private Pick pickModel(Service service, PromptParts prompt, List<Upstream> open, long now) {
@@ -152,8 +152,8 @@
         double kept = Math.max(upstream.memory().kept(prompt, now), keptByOthers * shared);
         double toRead = total - kept;
         double places = Math.max(0, upstream.inFlight() + 1 - upstream.capacity()) * WAITING_MS;
-        double expected = BASE_MS + (upstream.backlogTokens() + toRead) * msPerToken
-                + upstream.extraDelay(now) + places + upstream.waiting(now) * WAITING_MS;
-        return new Pick(upstream, (int) Math.round(toRead), expected / Math.max(0.1, 1 - upstream.errors()));
+        double own = BASE_MS + (upstream.backlogTokens() + toRead) * msPerToken;
+        double expected = own + upstream.extraDelay(now) + places + upstream.waiting(now) * WAITING_MS;
+        return new Pick(upstream, (int) Math.round(toRead), expected / Math.max(0.1, 1 - upstream.errors()), own);
     }
 }
--- a/src/main/java/yewyoke/replication/Replica.java
+++ b/src/main/java/yewyoke/replication/Replica.java
@@ -58,6 +58,7 @@
     private final Listener listener;
     private final Supplier<List<InstanceRecord>> instances;
     private final Set<Member> joiners = new LinkedHashSet<>();
+    private final List<Confirmation> confirming = new ArrayList<>();
     private final Map<Member, Long> heardFrom = new HashMap<>();
     private final Map<Member, Long> avoidUntil = new HashMap<>();
     private Member self;
@@ -78,6 +79,15 @@
     private Member promisedTo;
     private Pending pending;
 
+    /** Somebody who waits for the word of a majority. */
+    private static final class Confirmation {
+        final Consumer<Boolean> done;
+
+        Confirmation(Consumer<Boolean> done) {
+            this.done = done;
+        }
+    }
+
     /** A change on its way to the replicas. */
     private static final class Pending {
         final Snapshot snapshot;
@@ -207,6 +217,7 @@
         if (next == State.FOLLOWER) {
             joiners.clear();
             finishPending(false);
+            new ArrayList<>(confirming).forEach(c -> confirmed(c, false));
             if (leading) {
                 leading = false;
                 listener.lostPrimacy();
@@ -391,22 +402,23 @@
             done.accept(false);
             return;
         }
-        boolean[] answered = {false};
         View view = known;
-        scheduler.schedule(ReplicaTimes.CALL + ReplicaTimes.TICK, () -> {
-            if (!answered[0]) {
-                answered[0] = true;
-                done.accept(false);
-            }
-        });
+        Confirmation confirmation = new Confirmation(done);
+        confirming.add(confirmation);
+        scheduler.schedule(ReplicaTimes.CALL + ReplicaTimes.TICK, () -> confirmed(confirmation, false));
         sendHeartbeats(heard -> {
-            if (!answered[0] && view.hasMajority(heard)) {
-                answered[0] = true;
-                done.accept(state == State.PRIMARY);
+            if (view.hasMajority(heard)) {
+                confirmed(confirmation, state == State.PRIMARY);
             }
         });
     }
 
+    private void confirmed(Confirmation confirmation, boolean still) {
+        if (confirming.remove(confirmation)) {
+            confirmation.done.accept(still);
+        }
+    }
+
     /** Whether a change is under way. */
     public boolean busy() {
         return pending != null || state == State.CANDIDATE;
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -34,6 +34,17 @@
         "yewyoke.lab.play,yewyoke.error yewyoke.lab.fault yewyoke.lab.relay yewyoke.lab.check "
         + "yewyoke.lab.stand io.netty.. "
         + "com.fasterxml.jackson.core..",
+        "yewyoke.io,org.glassfish.grizzly.. org.apache.logging.log4j..",
+        "yewyoke.message,yewyoke.io io.protostuff..",
+        "yewyoke.configuration,yewyoke.io com.dslplatform.json..",
+        "yewyoke.replication,yewyoke.io yewyoke.message org.apache.logging.log4j..",
+        "yewyoke.membership,yewyoke.io yewyoke.message yewyoke.replication",
+        "yewyoke.rpc,yewyoke.io yewyoke.message yewyoke.replication",
+        "yewyoke.process,yewyoke.io com.fasterxml.jackson..",
+        "yewyoke.control,yewyoke.io yewyoke.message yewyoke.configuration yewyoke.replication yewyoke.rpc "
+        + "yewyoke.process org.mapdb.. kotlin.. org.apache.logging.log4j.. org.apache.commons.cli",
+        "yewyoke.dataplane,yewyoke yewyoke.io yewyoke.message yewyoke.configuration yewyoke.replication "
+        + "yewyoke.membership yewyoke.rpc yewyoke.process org.apache.logging.log4j.. org.apache.commons.cli",
         "yewyoke.lab.experiment,yewyoke.error yewyoke.lab.fault yewyoke.lab.check yewyoke.lab.stand "
         + "yewyoke.lab.play "
         + "yewyoke.toml com.fasterxml.jackson.. org.HdrHistogram org.jfree.."})
@@ -55,7 +66,7 @@
         noClasses().that().resideInAnyPackage("yewyoke", "yewyoke.node..", "yewyoke.adapter..",
                 "yewyoke.settings..").should().dependOnClassesThat().resideInAnyPackage("yewyoke.lab..",
                 "yewyoke.command..", "yewyoke.toml..",
-                "yewyoke.fleet..", "picocli..", "com.fasterxml.jackson.databind..",
+                "yewyoke.fleet..", "yewyoke.io..", "yewyoke.control..", "yewyoke.dataplane..", "picocli..", "com.fasterxml.jackson.databind..",
                 "io.micrometer..", "org.HdrHistogram..", "org.jfree..",
                 "org.apache.logging..").check(PROGRAM);
     }
--- /dev/null
+++ b/src/test/java/yewyoke/control/ControlPlaneTest.java
@@ -0,0 +1,294 @@
+package yewyoke.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import yewyoke.io.Headers;
+import yewyoke.io.RequestHead;
+import yewyoke.io.ServerExchange;
+import yewyoke.message.Accept;
+import yewyoke.message.Acknowledge;
+import yewyoke.message.Heartbeat;
+import yewyoke.message.Install;
+import yewyoke.message.InstanceRecord.Stage;
+import yewyoke.message.Member;
+import yewyoke.message.Message;
+import yewyoke.message.Poll;
+import yewyoke.message.PollReply;
+import yewyoke.message.Prepare;
+import yewyoke.message.Promise;
+import yewyoke.message.Replicate;
+import yewyoke.message.ShareInstances;
+import yewyoke.message.StoredState;
+import yewyoke.replication.ManualScheduler;
+import yewyoke.replication.Replica;
+import yewyoke.replication.ReplicaOptions;
+
+/** The operator's orders, heartbeats of upstreams and polls at a primary whose two peers are scripted. */
+class ControlPlaneTest {
+    private final ManualScheduler clock = new ManualScheduler();
+    private final List<Message> sent = new ArrayList<>();
+    private boolean peersAnswer = true;
+    private long promisedByPeers;
+    private ControlPlane plane;
+    private Replica replica;
+
+    /** A call at the control address and its answer. */
+    private static final class Call implements ServerExchange {
+        private final RequestHead head;
+        private final byte[] body;
+        int status;
+        Headers headers;
+        String answer;
+
+        Call(String method, String path, String match, String body) {
+            Headers fields = new Headers();
+            if (match != null) {
+                fields.add("If-Match", match);
+            }
+            this.head = new RequestHead(method, path, fields);
+            this.body = body.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+        }
+
+        @Override public RequestHead head() {
+            return head;
+        }
+
+        @Override public byte[] body() {
+            return body;
+        }
+
+        @Override public String caller() {
+            return "operator";
+        }
+
+        @Override public void respond(int code, Headers fields, byte[] bytes) {
+            status = code;
+            headers = fields;
+            answer = new String(bytes, StandardCharsets.UTF_8);
+        }
+
+        @Override public void begin(int code, Headers fields) {
+            throw new AssertionError("no answer here comes in pieces");
+        }
+
+        @Override public void write(byte[] bytes, int offset, int length) {
+            throw new AssertionError("no answer here comes in pieces");
+        }
+
+        @Override public void end() {
+            throw new AssertionError("no answer here comes in pieces");
+        }
+
+        @Override public void abort() {
+            status = -1;
+        }
+
+        @Override public boolean open() {
+            return true;
+        }
+
+        @Override public void onGone(Runnable task) {
+            // callers here stay
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        List<Member> seeds = List.of(Member.of("a:1", "a:2", ""), Member.of("b:1", "b:2", ""),
+                Member.of("c:1", "c:2", ""));
+        plane = new ControlPlane(clock, this::call, 1, 1_000, 0.1, 1_000);
+        replica = new Replica(new ReplicaOptions(seeds.get(0), 1, true, seeds), null, "s", clock,
+                (state, done) -> clock.schedule(5, () -> done.accept(true)), this::call, plane, plane::instances);
+        plane.attach(replica);
+        replica.start();
+        clock.run(1_000);
+        assertEquals(Replica.State.PRIMARY, replica.state());
+    }
+
+    private void call(String to, Message message, long timeout, java.util.function.Consumer<Message> answer) {
+        sent.add(message);
+        clock.schedule(peersAnswer ? 2 : timeout, () -> answer.accept(peersAnswer ? reply(to, message) : null));
+    }
+
+    private Message reply(String to, Message message) {
+        Member peer = Member.of(to, to.replace(":1", ":2"), "first-" + to);
+        if (message instanceof Prepare prepare) {
+            Promise promise = new Promise();
+            promise.granted = true;
+            promise.promised = prepare.epoch;
+            promise.member = peer;
+            return promise;
+        }
+        boolean known = message instanceof Accept || message instanceof Install || message instanceof Replicate
+                || message instanceof Heartbeat || message instanceof ShareInstances;
+        return known ? Acknowledge.of(promisedByPeers == 0, promisedByPeers, peer) : null;
+    }
+
+    private Call order(String method, String match, String body) {
+        Call call = new Call(method, "/config", match, body);
+        plane.handle(call);
+        clock.run(50);
+        return call;
+    }
+
+    private Call heartbeat(String id, String state, int sequence) {
+        Call call = new Call("PUT", "/instances/" + id, null, "{'backend':'s','address':'10.0.0.1:80','zone':'z',"
+                + "'capacity':8,'state':'" + state + "','sequence':" + sequence + "}");
+        plane.handle(call);
+        clock.run(20);
+        return call;
+    }
+
+    private PollReply poll(long generation, long epoch, long revision, boolean complete) {
+        Poll poll = new Poll();
+        poll.balancer = "e";
+        poll.address = "e:1";
+        poll.generation = generation;
+        poll.epoch = epoch;
+        poll.revision = revision;
+        poll.complete = complete;
+        PollReply[] reply = new PollReply[1];
+        plane.receive(poll, answer -> reply[0] = (PollReply) answer);
+        return reply[0];
+    }
+
+    @Test
+    void aChangeIsAcknowledgedOnceItsReplicaHasItAndReadBackWhole() {
+        Call put = order("PUT", "0", "{'generation':3,'services':[{'name':'s'}]}");
+        assertEquals(200, put.status);
+        assertTrue(sent.stream().anyMatch(m -> m instanceof Replicate r && r.generation == 3));
+        assertEquals("{\"generation\":3,\"services\":[{\"name\":\"s\"}]}", order("GET", null, "").answer);
+    }
+
+    @Test
+    void theSameOrderIsAcknowledgedAgainAlsoAfterLaterOnes() {
+        assertEquals(200, order("PUT", "0", "{'generation':3}").status);
+        assertEquals(200, order("PUT", "0", "{'generation':3}").status);
+        assertEquals(200, order("PATCH", "3", "{'generation':5,'upsert':{'services':[{'name':'x'}]}}").status);
+        assertEquals(200, order("PUT", "0", "{'generation':3}").status);
+        assertEquals("{\"generation\":5,\"services\":[{\"name\":\"x\"}]}", order("GET", null, "").answer);
+    }
+
+    @Test
+    void ofTwoChangesOnOneVersionOneWins() {
+        order("PUT", "0", "{'generation':3}");
+        Call one = new Call("PUT", "/config", "3", "{'generation':5,'services':[{'name':'a'}]}");
+        Call two = new Call("PUT", "/config", "3", "{'generation':5,'services':[{'name':'b'}]}");
+        plane.handle(one);
+        plane.handle(two);
+        clock.run(100);
+        assertEquals(200, one.status);
+        assertEquals(412, two.status);
+    }
+
+    @Test
+    void anInvalidChangeIsRefusedByNumber() {
+        order("PUT", "0", "{'generation':3}");
+        Call refused = order("PUT", "3", "{'generation':4,'routes':[{'name':'r','hostname':'h','path_prefix':'/',"
+                + "'backend':'none','timeout_ms':1}]}");
+        assertEquals(400, refused.status);
+        assertTrue(refused.answer.contains("E203 UNKNOWN_SERVICE"), refused.answer);
+        assertEquals(412, order("PUT", "2", "{'generation':9}").status);
+    }
+
+    @Test
+    void withoutAMajorityNothingIsAnsweredForSure() {
+        order("PUT", "0", "{'generation':3}");
+        peersAnswer = false;
+        Call put = order("PUT", "3", "{'generation':5}");
+        Call get = order("GET", null, "");
+        Call stale = order("PUT", "1", "{'generation':6}");
+        clock.run(4_000);
+        assertEquals(503, put.status);
+        assertEquals(503, get.status);
+        assertEquals(503, stale.status);
+        assertFalse(poll(0, 0, 0, false).valid);
+    }
+
+    @Test
+    void aDeposedPrimaryRefusesNothingInItsOldEpoch() {
+        order("PUT", "0", "{'generation':3}");
+        promisedByPeers = 99;
+        assertEquals(503, order("PUT", "1", "{'generation':9}").status);
+        assertEquals(Replica.State.FOLLOWER, replica.state());
+    }
+
+    @Test
+    void aDepartureIsAcknowledgedOnceAnotherNodeHasIt() {
+        assertEquals(200, heartbeat("i", "ready", 1).status);
+        sent.clear();
+        assertEquals(200, heartbeat("i", "draining", 2).status);
+        assertTrue(sent.stream().anyMatch(m -> m instanceof ShareInstances s
+                && s.instances.get(0).stage == Stage.DRAINING));
+        peersAnswer = false;
+        Call gone = new Call("DELETE", "/instances/i", null, "");
+        plane.handle(gone);
+        clock.run(550);
+        assertEquals(503, gone.status);
+    }
+
+    @Test
+    void aDrainingUpstreamStaysSoWhateverComesLate() {
+        heartbeat("i", "ready", 1);
+        heartbeat("i", "draining", 5);
+        heartbeat("i", "ready", 4);
+        heartbeat("i", "ready", 9);
+        assertEquals(Stage.DRAINING, plane.instances().get(0).stage);
+    }
+
+    @Test
+    void aPollIsHeldUntilThereIsNewsAndHearsOfItAtOnce() {
+        order("PUT", "0", "{'generation':3}");
+        clock.run(4_000);
+        PollReply first = poll(0, 0, 0, false);
+        assertTrue(first.valid && first.complete && first.whole && first.document.length > 0);
+        Poll waiting = new Poll();
+        waiting.balancer = "e";
+        waiting.address = "e:1";
+        waiting.generation = 3;
+        waiting.epoch = first.epoch;
+        waiting.revision = first.revision;
+        waiting.complete = true;
+        PollReply[] reply = new PollReply[1];
+        plane.receive(waiting, answer -> reply[0] = (PollReply) answer);
+        assertNull(reply[0]);
+        heartbeat("i", "ready", 1);
+        assertNotNull(reply[0]);
+        assertEquals("i", reply[0].instances.get(0).id);
+        assertEquals(0, reply[0].document.length);
+        reply[0] = null;
+        waiting.revision++;
+        plane.receive(waiting, answer -> reply[0] = (PollReply) answer);
+        clock.run(600);
+        assertNotNull(reply[0]);
+    }
+
+    @Test
+    void anUpstreamThatFallsSilentIsGone() {
+        heartbeat("i", "ready", 1);
+        clock.run(4_000);
+        assertEquals(Stage.GONE, plane.instances().get(0).stage);
+    }
+
+    @Test
+    void anotherNodeNamesThePrimary() {
+        StoredState state = replica.state() == Replica.State.PRIMARY ? null : new StoredState();
+        assertNull(state);
+        Heartbeat other = Heartbeat.of(yewyoke.message.View.of(50, Member.of("b:1", "b:2", "first-b:1"),
+                replica.view().group, replica.view().group, replica.view().group));
+        plane.receive(other, answer -> { });
+        clock.run(20);
+        Call put = order("PUT", "0", "{'generation':3}");
+        assertEquals(307, put.status);
+        assertEquals("http://b:2/config", put.headers.get("Location"));
+    }
+}
