Take no upstream for gone because a primary was frozen, and let lost ones come back

Cause: a primary frozen for 5 s took all upstreams for gone when it thawed, before it knew that it was deposed; its promise to the next primary carried that, and GONE never ends. Ruled out: the configuration (in force everywhere), quotas, admission. Change: silence makes LOST, which ends with the next heartbeat; a process that stood still forgives it; whoever takes over holds nobody for lost; a balancer keeps lost upstreams if they are more than half of a service. Tests for each.

--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -49,6 +49,7 @@
     private static final long HOLD_ORDER = 900;
     private static final long SHARE = 500;
     private static final long TICK = 100;
+    private static final long FROZEN = 400;
     private static final int SILENT_HEARTBEATS = 3;
     private static final String RETRY_AFTER = "0.2";
 
@@ -65,6 +66,7 @@
     private Snapshot committed = new Snapshot();
     private boolean leading;
     private long leadingSince;
+    private long lastTick;
     private boolean working;
 
     /** An order of the operator that waits for its turn. */
@@ -123,11 +125,15 @@
     private void tick() {
         scheduler.schedule(TICK, this::tick);
         long now = scheduler.now();
+        if (now - lastTick > FROZEN) {
+            registry.forgive(now);
+        }
+        lastTick = now;
         balancers.expire(now);
         if (!leading) {
             return;
         }
-        if (settled(now) && registry.expire(now, SILENT_HEARTBEATS * heartbeatMs + heartbeatMs / 2)) {
+        if (settled(now) && replica.recentlyConfirmed() && registry.expire(now, SILENT_HEARTBEATS * heartbeatMs + heartbeatMs / 2)) {
             answerPolls();
         }
         List<HeldPoll> due = polls.stream().filter(p -> now - p.since() >= HOLD_POLL).toList();
@@ -332,7 +338,7 @@
         if (news) {
             answerPolls();
         }
-        boolean leaves = registry.get(id).stage != Stage.READY;
+        boolean leaves = registry.get(id).leaving();
         if (leaves) {
             share(registry.get(id), safe -> {
                 if (safe) {
--- a/src/main/java/yewyoke/control/InstanceRegistry.java
+++ b/src/main/java/yewyoke/control/InstanceRegistry.java
@@ -39,9 +39,20 @@
         return false;
     }
 
-    /** Takes what other nodes knew; each counts as heard now. */
+    /** Takes what other nodes knew; each counts as heard now, and none as lost: who said so may have been cut off. */
     void inherit(Collection<InstanceRecord> records, long now) {
-        records.forEach(r -> take(r, now));
+        records.forEach(r -> take(r.stage == Stage.LOST ? r.at(Stage.READY) : r, now));
+        for (Entry entry : entries.values()) {
+            entry.heardAt = now;
+            if (entry.record.stage == Stage.LOST) {
+                entry.record = entry.record.at(Stage.READY);
+                entry.revision = ++revision;
+            }
+        }
+    }
+
+    /** Forgives the silence so far: this process stood still. */
+    void forgive(long now) {
         entries.values().forEach(e -> e.heardAt = now);
     }
 
@@ -64,15 +75,17 @@
         return changed;
     }
 
-    /** Takes upstreams for gone that have been silent for too long; whether any was. */
+    /** Takes upstreams for lost that have been silent for too long; whether any was. */
     boolean expire(long now, long longestSilence) {
         boolean changed = false;
-        entries.values().removeIf(e -> e.record.stage == Stage.GONE && now - e.heardAt > KEEP_GONE);
+        entries.values().removeIf(e -> !e.record.stage.equals(Stage.READY) && now - e.heardAt > KEEP_GONE);
         for (Entry entry : entries.values()) {
-            if (entry.record.stage != Stage.GONE && now - entry.heardAt > longestSilence) {
-                entry.record = entry.record.at(Stage.GONE);
+            boolean silent = now - entry.heardAt > longestSilence;
+            boolean lives = entry.record.stage == Stage.READY || entry.record.stage == Stage.DRAINING;
+            if (silent && lives) {
+                boolean leaves = entry.record.stage == Stage.DRAINING;
+                entry.record = entry.record.at(leaves ? Stage.GONE : Stage.LOST);
                 entry.revision = ++revision;
-                entry.heardAt = now;
                 changed = true;
             }
         }
--- a/src/main/java/yewyoke/dataplane/Connections.java
+++ b/src/main/java/yewyoke/dataplane/Connections.java
@@ -68,7 +68,7 @@
             Iterator<Connection> each = links.iterator();
             while (each.hasNext()) {
                 Connection link = each.next();
-                if (now - link.restingSince >= link.longestRest || !link.upstream.ready()) {
+                if (now - link.restingSince >= link.longestRest || link.upstream.record().leaving()) {
                     each.remove();
                     link.close();
                 }
@@ -153,7 +153,7 @@
         @Override public void end(boolean reusable) {
             User ended = user;
             user = null;
-            if (reusable && upstream.ready() && idleTo(upstream) < MOST_IDLE) {
+            if (reusable && !upstream.record().leaving() && idleTo(upstream) < MOST_IDLE) {
                 restingSince = loop.now();
                 idle.computeIfAbsent(upstream, u -> new ArrayDeque<>()).addLast(this);
             } else {
--- a/src/main/java/yewyoke/dataplane/UpstreamDirectory.java
+++ b/src/main/java/yewyoke/dataplane/UpstreamDirectory.java
@@ -65,7 +65,7 @@
             return;
         }
         Upstream known = byId.get(record.id);
-        if (record.stage != Stage.READY) {
+        if (record.leaving()) {
             remember(record.id);
             if (known != null) {
                 end(known, record.stage);
@@ -76,7 +76,7 @@
             Upstream created = new Upstream(record);
             created.engine(engineOf(record));
             byId.put(record.id, created);
-        } else if (known.record().sequence <= record.sequence) {
+        } else if (known.record().sequence <= record.sequence || known.record().stage != record.stage) {
             known.update(record);
         }
     }
@@ -103,11 +103,17 @@
         }
     }
 
+    /** Upstreams whose heartbeats stay out get nothing, unless that would leave less than half of a service. */
     private void index() {
         readyByService.clear();
+        Map<String, List<Upstream>> all = new HashMap<>();
         for (Upstream upstream : byId.values()) {
-            readyByService.computeIfAbsent(upstream.record().service, s -> new ArrayList<>()).add(upstream);
+            all.computeIfAbsent(upstream.record().service, s -> new ArrayList<>()).add(upstream);
         }
+        all.forEach((service, upstreams) -> {
+            List<Upstream> ready = upstreams.stream().filter(Upstream::ready).toList();
+            readyByService.put(service, 2 * ready.size() < upstreams.size() ? upstreams : ready);
+        });
     }
 
     /** The upstreams of a service that take requests. */
--- a/src/main/java/yewyoke/message/InstanceRecord.java
+++ b/src/main/java/yewyoke/message/InstanceRecord.java
@@ -2,8 +2,8 @@
 
 /** An incarnation of an upstream as its heartbeats tell it; instances are not changed once made. */
 public final class InstanceRecord {
-    /** What an instance does. */
-    public enum Stage { READY, DRAINING, GONE }
+    /** What an instance does; it is lost while its heartbeats stay out, and never comes back from the others. */
+    public enum Stage { READY, LOST, DRAINING, GONE }
 
     /** The incarnation's id. */
     public String id = "";
@@ -48,9 +48,14 @@
                 || !address.equals(other.address) || !service.equals(other.service);
     }
 
-    /** Which of two records of one incarnation holds: the later stage, then the later heartbeat. */
+    /** Whether the instance leaves or has left. */
+    public boolean leaving() {
+        return stage == Stage.DRAINING || stage == Stage.GONE;
+    }
+
+    /** Which of two records of one incarnation holds: a departure, else the later heartbeat. */
     public static InstanceRecord later(InstanceRecord a, InstanceRecord b) {
-        if (a.stage != b.stage) {
+        if (a.leaving() != b.leaving() || a.leaving() && a.stage != b.stage) {
             return a.stage.ordinal() > b.stage.ordinal() ? a : b;
         }
         return a.sequence >= b.sequence ? a : b;
--- /dev/null
+++ b/src/test/java/yewyoke/control/InstanceRegistryTest.java
@@ -0,0 +1,49 @@
+package yewyoke.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import yewyoke.message.InstanceRecord;
+import yewyoke.message.InstanceRecord.Stage;
+
+/** What heartbeats tell, in whichever order and from whomever it comes. */
+class InstanceRegistryTest {
+    private static InstanceRecord record(Stage stage, long sequence) {
+        return InstanceRecord.of("i", "s", "10.0.0.1:80", "z", 8, "v1", stage, sequence);
+    }
+
+    @Test
+    void whoTakesOverHoldsNobodyForLostOnAnothersWord() {
+        InstanceRegistry registry = new InstanceRegistry();
+        registry.take(record(Stage.READY, 3), 0);
+        registry.inherit(List.of(record(Stage.LOST, 20)), 1_000);
+        assertEquals(Stage.READY, registry.get("i").stage);
+        assertFalse(registry.expire(4_000, 4_000));
+        assertTrue(registry.expire(6_000, 4_000));
+        assertEquals(Stage.LOST, registry.get("i").stage);
+    }
+
+    @Test
+    void aDepartureHoldsAgainstAllThatComesLater() {
+        InstanceRegistry registry = new InstanceRegistry();
+        registry.take(record(Stage.DRAINING, 3), 0);
+        assertFalse(registry.take(record(Stage.READY, 9), 1));
+        registry.inherit(List.of(record(Stage.GONE, 2)), 2);
+        registry.take(record(Stage.DRAINING, 12), 3);
+        assertEquals(Stage.GONE, registry.get("i").stage);
+    }
+
+    @Test
+    void onlyWhatChangedIsToldSinceARevision() {
+        InstanceRegistry registry = new InstanceRegistry();
+        registry.take(record(Stage.READY, 1), 0);
+        long seen = registry.revision();
+        assertFalse(registry.take(record(Stage.READY, 2), 1_000));
+        assertEquals(0, registry.since(seen).size());
+        registry.take(record(Stage.DRAINING, 3), 2_000);
+        assertEquals(1, registry.since(seen).size());
+    }
+}
--- a/src/test/java/yewyoke/dataplane/ExchangeTest.java
+++ b/src/test/java/yewyoke/dataplane/ExchangeTest.java
@@ -292,6 +292,16 @@
         }
     }
 
+    @Test
+    void aLostUpstreamIsLeftOutUnlessHalfOfTheServiceIsLost() {
+        router.directory().take(List.of(record("p1", "p", Stage.LOST)), false);
+        assertEquals(2, router.directory().ready("p").size());
+        router.directory().take(List.of(record("p2", "p", Stage.LOST)), false);
+        assertEquals(3, router.directory().ready("p").size());
+        router.directory().take(List.of(record("p1", "p", Stage.READY)), false);
+        assertEquals(2, router.directory().ready("p").size());
+    }
+
     @Test
     void requestsOfOneSubjectMeetAtOneUpstream() {
         for (int i = 0; i < 10; i++) {
--- a/src/test/java/yewyoke/replication/ManualScheduler.java
+++ b/src/test/java/yewyoke/replication/ManualScheduler.java
@@ -16,6 +16,11 @@
         return timers.add(now + Math.max(0, delay), task);
     }
 
+    /** Moves the clock while nothing runs, as for a process that is frozen. */
+    public void freeze(long span) {
+        now += span;
+    }
+
     /** Runs all that is due within a span. */
     public void run(long span) {
         long end = now + span;
