Begin an attempt above the highest epoch heard of

Ruled out: the disks, the group. Change: the highest epoch heard of is kept and the next attempt begins above it; test.

--- a/src/main/java/yewyoke/replication/Candidacy.java
+++ b/src/main/java/yewyoke/replication/Candidacy.java
@@ -35,7 +35,6 @@
     private final Set<Member> installed = new LinkedHashSet<>();
     private Step step = Step.TRIAL;
     private long epoch;
-    private long highestSeen;
     private long enoughSince;
     private boolean baseMoved;
     private View base;
@@ -49,7 +48,7 @@
         this.withTrial = withTrial;
         this.begunAt = replica.scheduler().now();
         this.base = replica.view();
-        this.epoch = Math.max(replica.stored().promised, base.epoch) + 1;
+        this.epoch = Math.max(replica.highestEpoch(), base.epoch) + 1;
     }
 
     void begin() {
@@ -110,15 +109,14 @@
         if (step != (trial ? Step.TRIAL : Step.PREPARING)) {
             return;
         }
-        highestSeen = Math.max(highestSeen, promise.promised);
+        replica.saw(promise.promised);
         if (promise.accepted != null) {
             replica.know(promise.accepted);
         }
         if (promise.granted) {
             promises.put(promise.member, promise);
         } else if (promise.promised >= epoch) {
-            // Another epoch is ahead: begin again above it.
-            epoch = promise.promised;
+            // Another epoch is ahead: the next attempt begins above it.
             replica.lost("epoch " + promise.promised + " is ahead", true);
             return;
         }
@@ -145,7 +143,7 @@
         become(Step.SAVING);
         promises.clear();
         asked.clear();
-        epoch = Math.max(epoch, Math.max(highestSeen, replica.stored().promised) + 1);
+        epoch = Math.max(epoch, replica.highestEpoch() + 1);
         replica.saveState(replica.stored().withPromised(epoch), ok -> {
             if (!ok || step != Step.SAVING) {
                 return;
--- a/src/main/java/yewyoke/replication/Replica.java
+++ b/src/main/java/yewyoke/replication/Replica.java
@@ -66,6 +66,7 @@
     private StoredState stored;
     private View known;
     private Candidacy candidacy;
+    private long highestSeen;
     private long lastHeard;
     private long lastTick;
     private long lastJoin;
@@ -557,6 +558,15 @@
         return stored;
     }
 
+    /** The highest epoch heard of; an attempt below it would be refused for ever. */
+    long highestEpoch() {
+        return Math.max(highestSeen, stored.promised);
+    }
+
+    void saw(long epoch) {
+        highestSeen = Math.max(highestSeen, epoch);
+    }
+
     Scheduler scheduler() {
         return scheduler;
     }
--- a/src/test/java/yewyoke/replication/ReplicaTest.java
+++ b/src/test/java/yewyoke/replication/ReplicaTest.java
@@ -151,6 +151,19 @@
         acknowledge(cluster);
     }
 
+    @Test
+    void aCandidateLearnsOfAHigherEpochThatWasPromisedInVain() {
+        VirtualCluster cluster = started(3, 1);
+        acknowledge(cluster);
+        Node witness = cluster.node(2);
+        witness.replica.receive(yewyoke.message.Prepare.of(40, cluster.node(1).replica.self(), false), a -> { });
+        cluster.clock.run(100);
+        cluster.node(0).kill();
+        cluster.clock.run(4_000);
+        assertNotNull(cluster.primary());
+        assertTrue(cluster.primary().replica.epoch() > 40);
+    }
+
     @Test
     void aResignedPrimaryIsFollowedAtOnce() {
         VirtualCluster cluster = started(3, 1);
