--- a/src/main/java/yewyoke/configuration/Compression.java
+++ b/src/main/java/yewyoke/configuration/Compression.java
@@ -11,7 +11,7 @@
     private static final int BUFFER = 8 * 1_024;
     private static final int MOST = 64 * 1_024 * 1_024;
 
-    private Compression() { }
+    private Compression() {}
 
     /** Compresses bytes; none stay none. */
     public static byte[] deflate(byte[] bytes) {
@@ -47,13 +47,15 @@
                 int count = inflater.inflate(buffer);
                 boolean stuck = count == 0 && !inflater.finished();
                 if (stuck || out.size() > MOST) {
-                    throw new ConfigurationException(ResultCode.CONFIGURATION_SYNTAX, "a stored document is damaged");
+                    throw new ConfigurationException(
+                            ResultCode.CONFIGURATION_SYNTAX, "a stored document is damaged");
                 }
                 out.write(buffer, 0, count);
             }
             return out.toByteArray();
         } catch (DataFormatException e) {
-            throw new ConfigurationException(ResultCode.CONFIGURATION_SYNTAX, "a stored document is damaged");
+            throw new ConfigurationException(
+                    ResultCode.CONFIGURATION_SYNTAX, "a stored document is damaged");
         } finally {
             inflater.end();
         }
--- a/src/main/java/yewyoke/configuration/Configuration.java
+++ b/src/main/java/yewyoke/configuration/Configuration.java
@@ -31,7 +31,9 @@
         readRoutes(root);
     }
 
-    /** Reads and checks a whole document; what is invalid is refused with the place of the fault. */
+    /**
+     * Reads and checks a whole document; what is invalid is refused with the place of the fault.
+     */
     public static Configuration read(Map<String, Object> tree) {
         return new Configuration(Fields.of("configuration", tree));
     }
@@ -43,7 +45,8 @@
             for (String key : tenant.keys()) {
                 Tenant other = tenantsByKey.put(key, tenant);
                 if (other != null && !other.name().equals(tenant.name())) {
-                    throw new ConfigurationException(ResultCode.SHARED_KEY,
+                    throw new ConfigurationException(
+                            ResultCode.SHARED_KEY,
                             fields.path() + " has a key of tenant " + other.name());
                 }
             }
@@ -56,10 +59,13 @@
             Route route = Route.read(fields);
             check(fields.path(), route);
             if (!places.add(route.hostname().toLowerCase() + " " + route.pathPrefix())) {
-                throw new ConfigurationException(ResultCode.SAME_PLACE,
+                throw new ConfigurationException(
+                        ResultCode.SAME_PLACE,
                         fields.path() + " has host and prefix of another route");
             }
-            routesByHost.computeIfAbsent(route.hostname().toLowerCase(), h -> new ArrayList<>()).add(route);
+            routesByHost
+                    .computeIfAbsent(route.hostname().toLowerCase(), h -> new ArrayList<>())
+                    .add(route);
         }
         for (List<Route> ofHost : routesByHost.values()) {
             ofHost.sort((a, b) -> b.pathPrefix().length() - a.pathPrefix().length());
@@ -68,12 +74,14 @@
 
     private void check(String path, Route route) {
         if (route.timeoutMs() <= 0) {
-            throw new ConfigurationException(ResultCode.NO_TIMEOUT, path + ".timeout_ms is not above 0");
+            throw new ConfigurationException(
+                    ResultCode.NO_TIMEOUT, path + ".timeout_ms is not above 0");
         }
         double sum = 0;
         for (Route.Share share : route.shares()) {
             if (!services.containsKey(share.service())) {
-                throw new ConfigurationException(ResultCode.UNKNOWN_SERVICE,
+                throw new ConfigurationException(
+                        ResultCode.UNKNOWN_SERVICE,
                         path + " names the unknown service " + share.service());
             }
             if (share.weight() < 0) {
@@ -82,7 +90,8 @@
             sum += share.weight();
         }
         if (sum <= 0) {
-            throw new ConfigurationException(ResultCode.NO_WEIGHT, path + ".traffic_split adds up to 0");
+            throw new ConfigurationException(
+                    ResultCode.NO_WEIGHT, path + ".traffic_split adds up to 0");
         }
     }
 
--- a/src/main/java/yewyoke/configuration/ConfigurationDocument.java
+++ b/src/main/java/yewyoke/configuration/ConfigurationDocument.java
@@ -51,7 +51,9 @@
         return checked(Json.readObject(whole));
     }
 
-    /** The document that a change of named items makes of this; refused if the result is invalid. */
+    /**
+     * The document that a change of named items makes of this; refused if the result is invalid.
+     */
     public ConfigurationDocument changedBy(byte[] change) {
         Map<String, Object> patch = Json.readObject(change);
         Map<String, Object> tree =
@@ -59,11 +61,12 @@
         if (patch.get(GENERATION) == null) {
             throw Fields.wrong(GENERATION, "a number");
         }
-        patch.forEach((name, value) -> {
-            if (!name.equals(UPSERT) && !name.equals(DELETE)) {
-                tree.put(name, value);
-            }
-        });
+        patch.forEach(
+                (name, value) -> {
+                    if (!name.equals(UPSERT) && !name.equals(DELETE)) {
+                        tree.put(name, value);
+                    }
+                });
         if (patch.get(DELETE) != null) {
             delete(tree, Fields.of(DELETE, patch.get(DELETE)), (Map<?, ?>) patch.get(DELETE));
         }
@@ -77,7 +80,8 @@
     private ConfigurationDocument checked(Map<String, Object> tree) {
         Configuration configuration = Configuration.read(tree);
         if (configuration.generation() <= generation) {
-            throw new ConfigurationException(ResultCode.OLD_GENERATION,
+            throw new ConfigurationException(
+                    ResultCode.OLD_GENERATION,
                     "generation " + configuration.generation() + " is not above " + generation);
         }
         return new ConfigurationDocument(Json.write(tree), configuration.generation());
@@ -91,14 +95,15 @@
     }
 
     private static void upsert(Map<String, Object> tree, Map<?, ?> lists) {
-        lists.forEach((kind, value) -> {
-            if (value instanceof List<?> changed) {
-                List<Object> items = items(tree, String.valueOf(kind));
-                changed.forEach(item -> put(items, item));
-            } else {
-                tree.put(String.valueOf(kind), value);
-            }
-        });
+        lists.forEach(
+                (kind, value) -> {
+                    if (value instanceof List<?> changed) {
+                        List<Object> items = items(tree, String.valueOf(kind));
+                        changed.forEach(item -> put(items, item));
+                    } else {
+                        tree.put(String.valueOf(kind), value);
+                    }
+                });
     }
 
     private static void put(List<Object> items, Object item) {
@@ -121,7 +126,8 @@
 
     private static List<Object> items(Map<String, Object> tree, String kind) {
         Object present = tree.get(kind);
-        List<Object> items = present instanceof List<?> list ? new ArrayList<>(list) : new ArrayList<>();
+        List<Object> items =
+                present instanceof List<?> list ? new ArrayList<>(list) : new ArrayList<>();
         tree.put(kind, items);
         return items;
     }
--- a/src/main/java/yewyoke/configuration/Fields.java
+++ b/src/main/java/yewyoke/configuration/Fields.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 import yewyoke.io.ResultCode;
 
-/** Typed access to the fields of a JSON object; what is missing or mistyped is refused by its path. */
+/**
+ * Typed access to the fields of a JSON object; what is missing or mistyped is refused by its path.
+ */
 final class Fields {
     private final String path;
     private final Map<?, ?> values;
@@ -23,7 +25,8 @@
     }
 
     static ConfigurationException wrong(String path, String wanted) {
-        return new ConfigurationException(ResultCode.CONFIGURATION_FIELD, path + " is not " + wanted);
+        return new ConfigurationException(
+                ResultCode.CONFIGURATION_FIELD, path + " is not " + wanted);
     }
 
     String path() {
--- a/src/main/java/yewyoke/configuration/Json.java
+++ b/src/main/java/yewyoke/configuration/Json.java
@@ -13,27 +13,30 @@
 public final class Json {
     private static final DslJson<Object> LIBRARY = new DslJson<>(new DslJson.Settings<>());
 
-    private Json() { }
+    private Json() {}
 
     /** Reads a document that has to be one object and nothing behind it. */
     public static Map<String, Object> readObject(byte[] bytes) {
         try {
             JsonReader<Object> reader = LIBRARY.newReader(bytes);
             if (reader.getNextToken() != '{') {
-                throw new ConfigurationException(ResultCode.CONFIGURATION_SYNTAX, "the document is no object");
+                throw new ConfigurationException(
+                        ResultCode.CONFIGURATION_SYNTAX, "the document is no object");
             }
             Map<String, Object> tree = ObjectConverter.deserializeMap(reader);
             for (int i = reader.getCurrentIndex(); i < bytes.length; i++) {
                 if (bytes[i] > ' ' || bytes[i] < 0) {
-                    throw new ConfigurationException(ResultCode.CONFIGURATION_SYNTAX,
-                            "more follows behind the object");
+                    throw new ConfigurationException(
+                            ResultCode.CONFIGURATION_SYNTAX, "more follows behind the object");
                 }
             }
             return tree;
         } catch (ParsingException e) {
-            throw new ConfigurationException(ResultCode.CONFIGURATION_SYNTAX, String.valueOf(e.getMessage()));
+            throw new ConfigurationException(
+                    ResultCode.CONFIGURATION_SYNTAX, String.valueOf(e.getMessage()));
         } catch (IOException e) {
-            throw new ConfigurationException(ResultCode.CONFIGURATION_SYNTAX, "cut short: " + e.getMessage());
+            throw new ConfigurationException(
+                    ResultCode.CONFIGURATION_SYNTAX, "cut short: " + e.getMessage());
         }
     }
 
--- a/src/main/java/yewyoke/control/BalancerDirectory.java
+++ b/src/main/java/yewyoke/control/BalancerDirectory.java
@@ -62,7 +62,10 @@
         return members;
     }
 
-    /** How many balancers there are: those heard of, or as many as they knew before this node heard them. */
+    /**
+     * How many balancers there are: those heard of, or as many as they knew before this node heard
+     * them.
+     */
     int count(boolean recentlyPrimary) {
         int told = 0;
         for (Entry entry : entries.values()) {
--- a/src/main/java/yewyoke/control/ControlCommand.java
+++ b/src/main/java/yewyoke/control/ControlCommand.java
@@ -17,17 +17,19 @@
 /** The command line of the control plane. */
 final class ControlCommand {
     private static final int USAGE = 2;
-    private static final String WORDS = "yewyoke-control serve | check [FILE] | rehearse | store FOLDER";
-    private static final String FOOTER = """
+    private static final String WORDS =
+            "yewyoke-control serve | check [FILE] | rehearse | store FOLDER";
+    private static final String FOOTER =
+            """
 
-            serve         serve with the settings that MYRTLELADDER_CONFIG names
-            check [FILE]  check a settings file
-            rehearse      serve requests of its own on the loopback and end
-            store FOLDER  verify the state in a folder and tell what it holds
+serve         serve with the settings that MYRTLELADDER_CONFIG names
+check [FILE]  check a settings file
+rehearse      serve requests of its own on the loopback and end
+store FOLDER  verify the state in a folder and tell what it holds
 
-            Exit codes: 0 done, 1 failed with a numbered result, 2 the command line is wrong.""";
+Exit codes: 0 done, 1 failed with a numbered result, 2 the command line is wrong.""";
 
-    private ControlCommand() { }
+    private ControlCommand() {}
 
     static int run(String[] arguments) {
         Options options = new Options();
@@ -67,7 +69,9 @@
     }
 
     private static NodeSettings settings(List<String> words) {
-        return words.size() > 1 ? NodeSettings.read(Path.of(words.get(1))) : NodeSettings.fromEnvironment();
+        return words.size() > 1
+                ? NodeSettings.read(Path.of(words.get(1)))
+                : NodeSettings.fromEnvironment();
     }
 
     private static int rehearse() {
@@ -82,8 +86,8 @@
     private static void serve() {
         NodeSettings settings = NodeSettings.fromEnvironment();
         if (settings.control() == null || settings.dataFolder().isEmpty()) {
-            throw new SettingsException(ResultCode.SETTINGS_VALUE,
-                    "a control node needs listen.control and data_dir");
+            throw new SettingsException(
+                    ResultCode.SETTINGS_VALUE, "a control node needs listen.control and data_dir");
         }
         try {
             Main.serve(settings);
@@ -99,13 +103,24 @@
             throw new SettingsException(ResultCode.USAGE, "store wants a folder");
         }
         int sound = 0;
-        for (GenerationStore.Generation generation : new GenerationStore(Path.of(words.get(1))).generations()) {
+        for (GenerationStore.Generation generation :
+                new GenerationStore(Path.of(words.get(1))).generations()) {
             try {
                 StoredState state = GenerationStore.read(generation.file());
                 sound++;
-                System.out.println(generation.file() + ": store " + state.store + ", promised "
-                        + state.promised + ", " + state.accepted + ", generation "
-                        + state.snapshot.generation + ", " + state.snapshot.orders.size() + " orders");
+                System.out.println(
+                        generation.file()
+                                + ": store "
+                                + state.store
+                                + ", promised "
+                                + state.promised
+                                + ", "
+                                + state.accepted
+                                + ", generation "
+                                + state.snapshot.generation
+                                + ", "
+                                + state.snapshot.orders.size()
+                                + " orders");
             } catch (SystemException e) {
                 System.out.println(generation.file() + ": " + e.getMessage());
             }
--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -39,8 +39,8 @@
 import yewyoke.replication.Replica;
 
 /**
- * The control plane on one node: the operator's orders, the heartbeats of upstreams and the polls of
- * balancers. Only the primary decides; the others name it.
+ * The control plane on one node: the operator's orders, the heartbeats of upstreams and the polls
+ * of balancers. Only the primary decides; the others name it.
  */
 public final class ControlPlane implements Replica.Listener {
     private static final Logger LOG = LogManager.getLogger(ControlPlane.class);
@@ -73,14 +73,19 @@
     private boolean savePlanned;
 
     /** An order of the operator that waits for its turn. */
-    private record Order(ServerExchange exchange, String digest, long since) { }
+    private record Order(ServerExchange exchange, String digest, long since) {}
 
     /** A poll that waits for news. */
-    private record HeldPoll(Poll poll, Consumer<Message> answer, long since) { }
+    private record HeldPoll(Poll poll, Consumer<Message> answer, long since) {}
 
     /** Creates a control plane; {@link #attach} has to follow. */
-    public ControlPlane(Scheduler scheduler, Peers peers, int tolerated, long heartbeatMs,
-            double quotaOverage, double quotaSlack) {
+    public ControlPlane(
+            Scheduler scheduler,
+            Peers peers,
+            int tolerated,
+            long heartbeatMs,
+            double quotaOverage,
+            double quotaSlack) {
         this.bank = new QuotaBank(quotaOverage, quotaSlack);
         this.handoff = new HintedHandoff(scheduler, peers);
         this.scheduler = scheduler;
@@ -101,7 +106,8 @@
         return registry.all();
     }
 
-    @Override public void becamePrimary(Collection<InstanceRecord> inherited) {
+    @Override
+    public void becamePrimary(Collection<InstanceRecord> inherited) {
         if (!leading) {
             leadingSince = scheduler.now();
             bank.clear();
@@ -110,13 +116,17 @@
         working = false;
         registry.inherit(inherited, scheduler.now());
         commit(false);
-        LOG.info("primary of epoch {} with generation {} and {} upstreams", replica.epoch(),
-                committed.generation, registry.all().size());
+        LOG.info(
+                "primary of epoch {} with generation {} and {} upstreams",
+                replica.epoch(),
+                committed.generation,
+                registry.all().size());
         answerPolls();
         work();
     }
 
-    @Override public void lostPrimacy() {
+    @Override
+    public void lostPrimacy() {
         leading = false;
         working = false;
         handoff.clear();
@@ -139,7 +149,9 @@
         if (!leading) {
             return;
         }
-        if (settled(now) && replica.recentlyConfirmed() && registry.expire(now, SILENT_HEARTBEATS * heartbeatMs + heartbeatMs / 2)) {
+        if (settled(now)
+                && replica.recentlyConfirmed()
+                && registry.expire(now, SILENT_HEARTBEATS * heartbeatMs + heartbeatMs / 2)) {
             answerPolls();
         }
         List<HeldPoll> due = polls.stream().filter(p -> now - p.since() >= HOLD_POLL).toList();
@@ -156,7 +168,8 @@
         return now - leadingSince > SILENT_HEARTBEATS * heartbeatMs;
     }
 
-    // ---- Callers from outside ------------------------------------------------------------------------
+    // ---- Callers from outside
+    // ------------------------------------------------------------------------
 
     /** Takes a request at the control address. */
     public void handle(ServerExchange exchange) {
@@ -173,9 +186,19 @@
     }
 
     private Map<String, Object> status() {
-        return Map.of("state", replica.state().name(), "epoch", replica.epoch(), "generation",
-                committed.generation, "upstreams", registry.all().size(), "balancers",
-                balancers.count(false), "view", String.valueOf(replica.view()));
+        return Map.of(
+                "state",
+                replica.state().name(),
+                "epoch",
+                replica.epoch(),
+                "generation",
+                committed.generation,
+                "upstreams",
+                registry.all().size(),
+                "balancers",
+                balancers.count(false),
+                "view",
+                String.valueOf(replica.view()));
     }
 
     private static Headers json() {
@@ -188,15 +211,19 @@
             unclear(exchange);
             return;
         }
-        exchange.respond(307, new Headers().add("Location",
-                "http://" + primary.control + exchange.head().target()), NO_BYTES);
+        exchange.respond(
+                307,
+                new Headers()
+                        .add("Location", "http://" + primary.control + exchange.head().target()),
+                NO_BYTES);
     }
 
     private static void unclear(ServerExchange exchange) {
         exchange.respond(503, new Headers().add("Retry-After", RETRY_AFTER), NO_BYTES);
     }
 
-    // ---- Orders --------------------------------------------------------------------------------------
+    // ---- Orders
+    // --------------------------------------------------------------------------------------
 
     private void order(ServerExchange exchange) {
         if (!leading) {
@@ -210,7 +237,11 @@
     private static String digest(ServerExchange exchange) {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            String line = exchange.head().method() + " " + exchange.head().headers().get("If-Match") + "\n";
+            String line =
+                    exchange.head().method()
+                            + " "
+                            + exchange.head().headers().get("If-Match")
+                            + "\n";
             digest.update(line.getBytes(StandardCharsets.UTF_8));
             return HexFormat.of().formatHex(digest.digest(exchange.body()), 0, 16);
         } catch (NoSuchAlgorithmException e) {
@@ -225,14 +256,15 @@
         }
         working = true;
         Order order = orders.poll();
-        replica.confirm(confirmed -> {
-            if (!confirmed) {
-                unclear(order.exchange());
-                worked();
-            } else {
-                carryOut(order);
-            }
-        });
+        replica.confirm(
+                confirmed -> {
+                    if (!confirmed) {
+                        unclear(order.exchange());
+                        worked();
+                    } else {
+                        carryOut(order);
+                    }
+                });
     }
 
     private void worked() {
@@ -259,15 +291,24 @@
             return;
         }
         String match = exchange.head().headers().get("If-Match");
-        if (match != null && !match.replace("\"", "").trim().equals(Long.toString(committed.generation))) {
-            refuse(exchange, 412, ResultCode.STALE_MATCH.label() + ": generation " + committed.generation + " is current");
+        if (match != null
+                && !match.replace("\"", "").trim().equals(Long.toString(committed.generation))) {
+            refuse(
+                    exchange,
+                    412,
+                    ResultCode.STALE_MATCH.label()
+                            + ": generation "
+                            + committed.generation
+                            + " is current");
             worked();
             return;
         }
         try {
             ConfigurationDocument current = document();
-            ConfigurationDocument next = method.equals("PUT") ? current.replacedBy(exchange.body())
-                    : current.changedBy(exchange.body());
+            ConfigurationDocument next =
+                    method.equals("PUT")
+                            ? current.replacedBy(exchange.body())
+                            : current.changedBy(exchange.body());
             submit(order, next);
         } catch (ConfigurationException e) {
             refuse(exchange, 400, e.getMessage());
@@ -276,17 +317,24 @@
     }
 
     private void submit(Order order, ConfigurationDocument next) {
-        replica.submit(Compression.deflate(next.bytes()), next.generation(), order.digest(), taken -> {
-            if (taken) {
-                commit(true);
-                LOG.info("generation {} is committed in epoch {}", committed.generation, replica.epoch());
-                answerPolls();
-                order.exchange().respond(200, json(), acknowledged());
-            } else {
-                unclear(order.exchange());
-            }
-            worked();
-        });
+        replica.submit(
+                Compression.deflate(next.bytes()),
+                next.generation(),
+                order.digest(),
+                taken -> {
+                    if (taken) {
+                        commit(true);
+                        LOG.info(
+                                "generation {} is committed in epoch {}",
+                                committed.generation,
+                                replica.epoch());
+                        answerPolls();
+                        order.exchange().respond(200, json(), acknowledged());
+                    } else {
+                        unclear(order.exchange());
+                    }
+                    worked();
+                });
     }
 
     private void commit(boolean byOrder) {
@@ -298,7 +346,8 @@
     }
 
     private ConfigurationDocument document() {
-        return ConfigurationDocument.stored(Compression.inflate(committed.document), committed.generation);
+        return ConfigurationDocument.stored(
+                Compression.inflate(committed.document), committed.generation);
     }
 
     private byte[] acknowledged() {
@@ -317,7 +366,8 @@
         exchange.respond(status, json(), Json.write(Map.of("error", message)));
     }
 
-    // ---- Upstreams -----------------------------------------------------------------------------------
+    // ---- Upstreams
+    // -----------------------------------------------------------------------------------
 
     private void instance(ServerExchange exchange, String id) {
         if (!leading || !replica.recentlyConfirmed()) {
@@ -347,29 +397,36 @@
         }
         boolean leaves = registry.get(id).leaving();
         if (leaves) {
-            share(registry.get(id), safe -> {
-                if (safe) {
-                    exchange.respond(200, json(), emptyObject());
-                } else {
-                    unclear(exchange);
-                }
-            });
+            share(
+                    registry.get(id),
+                    safe -> {
+                        if (safe) {
+                            exchange.respond(200, json(), emptyObject());
+                        } else {
+                            unclear(exchange);
+                        }
+                    });
             return;
         }
         if (news) {
-            share(registry.get(id), safe -> { });
+            share(registry.get(id), safe -> {});
         }
         exchange.respond(200, json(), emptyObject());
     }
 
-    /** Upstreams go to the disk a while after they changed; only a restart of all needs them from there. */
+    /**
+     * Upstreams go to the disk a while after they changed; only a restart of all needs them from
+     * there.
+     */
     private void saveSoon() {
         if (!savePlanned) {
             savePlanned = true;
-            scheduler.schedule(SAVE_PAUSE, () -> {
-                savePlanned = false;
-                replica.saveInstances();
-            });
+            scheduler.schedule(
+                    SAVE_PAUSE,
+                    () -> {
+                        savePlanned = false;
+                        replica.saveInstances();
+                    });
         }
     }
 
@@ -377,7 +434,9 @@
         return Json.write(Map.of());
     }
 
-    /** Gives a record to the other nodes; told true once as many have it as may be lost at one time. */
+    /**
+     * Gives a record to the other nodes; told true once as many have it as may be lost at one time.
+     */
     private void share(InstanceRecord record, Consumer<Boolean> done) {
         List<Member> others = new ArrayList<>(replica.view().group);
         others.remove(replica.self());
@@ -391,23 +450,28 @@
         }
         ShareInstances message = ShareInstances.of(replica.view().epoch, List.of(record));
         for (Member other : others) {
-            peers.call(other.address, message, SHARE, answer -> {
-                answered.add(other);
-                if (answer instanceof Acknowledge reply && reply.taken) {
-                    taken.add(other);
-                } else if (leading) {
-                    handoff.keep(other, record, replica.view().epoch);
-                }
-                boolean safe = taken.size() >= wanted;
-                if (!told[0] && (safe || answered.size() == others.size())) {
-                    told[0] = true;
-                    done.accept(safe);
-                }
-            });
-        }
-    }
-
-    // ---- Messages of the fleet -----------------------------------------------------------------------
+            peers.call(
+                    other.address,
+                    message,
+                    SHARE,
+                    answer -> {
+                        answered.add(other);
+                        if (answer instanceof Acknowledge reply && reply.taken) {
+                            taken.add(other);
+                        } else if (leading) {
+                            handoff.keep(other, record, replica.view().epoch);
+                        }
+                        boolean safe = taken.size() >= wanted;
+                        if (!told[0] && (safe || answered.size() == others.size())) {
+                            told[0] = true;
+                            done.accept(safe);
+                        }
+                    });
+        }
+    }
+
+    // ---- Messages of the fleet
+    // -----------------------------------------------------------------------
 
     /** Takes a message of another process of the fleet. */
     public void receive(Message message, Consumer<Message> answer) {
@@ -442,8 +506,10 @@
     }
 
     private boolean hasNews(Poll poll) {
-        return poll.epoch != replica.view().epoch || poll.generation < committed.generation
-                || poll.revision < registry.revision() || !poll.complete && settled(scheduler.now());
+        return poll.epoch != replica.view().epoch
+                || poll.generation < committed.generation
+                || poll.revision < registry.revision()
+                || !poll.complete && settled(scheduler.now());
     }
 
     private void answerPolls() {
--- a/src/main/java/yewyoke/control/DiskThread.java
+++ b/src/main/java/yewyoke/control/DiskThread.java
@@ -10,8 +10,8 @@
 import yewyoke.replication.Storage;
 
 /**
- * Saves on a thread of its own, since a disk may take seconds. What waits while one save is under way is
- * written at once, as the newest state includes it.
+ * Saves on a thread of its own, since a disk may take seconds. What waits while one save is under
+ * way is written at once, as the newest state includes it.
  */
 public final class DiskThread implements Storage {
     private static final Logger LOG = LogManager.getLogger(DiskThread.class);
@@ -35,7 +35,8 @@
         thread.start();
     }
 
-    @Override public void save(StoredState state, Consumer<Boolean> done) {
+    @Override
+    public void save(StoredState state, Consumer<Boolean> done) {
         synchronized (lock) {
             waiting = state;
             waitingFor.add(done);
--- a/src/main/java/yewyoke/control/GenerationStore.java
+++ b/src/main/java/yewyoke/control/GenerationStore.java
@@ -25,9 +25,9 @@
 import yewyoke.message.StoredState;
 
 /**
- * The state on the disk: each save writes the whole as a new MapDB table with a checksum, syncs it, and only
- * then removes what is older than the one before. A file that was written in part is set aside at the start;
- * what it held was never acknowledged. No file is changed once written.
+ * The state on the disk: each save writes the whole as a new MapDB table with a checksum, syncs it,
+ * and only then removes what is older than the one before. A file that was written in part is set
+ * aside at the start; what it held was never acknowledged. No file is changed once written.
  */
 public final class GenerationStore {
     private static final Logger LOG = LogManager.getLogger(GenerationStore.class);
@@ -54,18 +54,19 @@
     }
 
     /** A generation of the state in its file. */
-    public record Generation(long number, Path file) { }
+    public record Generation(long number, Path file) {}
 
     /** What stands in the folder, the newest first. */
     public List<Generation> generations() {
         List<Generation> found = new ArrayList<>();
         try (Stream<Path> files = Files.list(folder)) {
-            files.forEach(file -> {
-                String name = file.getFileName().toString();
-                if (name.startsWith(PREFIX)) {
-                    found.add(new Generation(numberOf(name), file));
-                }
-            });
+            files.forEach(
+                    file -> {
+                        String name = file.getFileName().toString();
+                        if (name.startsWith(PREFIX)) {
+                            found.add(new Generation(numberOf(name), file));
+                        }
+                    });
         } catch (IOException e) {
             throw new StoreException(ResultCode.DISK_DAMAGED, "can't list " + folder, e);
         }
@@ -115,8 +116,12 @@
         byte[] bytes;
         try {
             byte[] table = withoutChecksum(Files.readAllBytes(file));
-            bytes = join(SortedTableMap.open(new SingleByteArrayVol(table), Serializer.INTEGER,
-                    Serializer.BYTE_ARRAY));
+            bytes =
+                    join(
+                            SortedTableMap.open(
+                                    new SingleByteArrayVol(table),
+                                    Serializer.INTEGER,
+                                    Serializer.BYTE_ARRAY));
         } catch (IOException | DBException e) {
             throw new StoreException(ResultCode.DISK_DAMAGED, file + " can't be read: " + e, e);
         }
@@ -157,7 +162,8 @@
             byte[] chunk = table.get(i + 1);
             int wanted = Math.min(CHUNK, length - i * CHUNK);
             if (chunk == null || chunk.length != wanted) {
-                throw new StoreException(ResultCode.DISK_DAMAGED, "part " + i + " is missing", null);
+                throw new StoreException(
+                        ResultCode.DISK_DAMAGED, "part " + i + " is missing", null);
             }
             System.arraycopy(chunk, 0, bytes, i * CHUNK, wanted);
         }
@@ -174,8 +180,8 @@
     public void save(StoredState state) {
         Path file = folder.resolve(String.format("%s%016d%s", PREFIX, newest + 1, SUFFIX));
         newest++;
-        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW,
-                StandardOpenOption.WRITE)) {
+        try (FileChannel channel =
+                FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE)) {
             ByteBuffer bytes = ByteBuffer.wrap(table(MessageCodec.encode(state)));
             while (bytes.hasRemaining()) {
                 channel.write(bytes);
@@ -198,8 +204,11 @@
         header.putInt(0, FORMAT);
         header.putInt(4, bytes.length);
         Volume volume = ByteArrayVol.FACTORY.makeVolume(null, false);
-        SortedTableMap.Sink<Integer, byte[]> sink = SortedTableMap.create(volume, Serializer.INTEGER,
-                Serializer.BYTE_ARRAY).pageSize(PAGE).nodeSize(NODE).createFromSink();
+        SortedTableMap.Sink<Integer, byte[]> sink =
+                SortedTableMap.create(volume, Serializer.INTEGER, Serializer.BYTE_ARRAY)
+                        .pageSize(PAGE)
+                        .nodeSize(NODE)
+                        .createFromSink();
         sink.put(0, header.array());
         for (int i = 0; i * CHUNK < bytes.length; i++) {
             int end = Math.min(bytes.length, (i + 1) * CHUNK);
--- a/src/main/java/yewyoke/control/HintedHandoff.java
+++ b/src/main/java/yewyoke/control/HintedHandoff.java
@@ -12,8 +12,8 @@
 import yewyoke.replication.Peers;
 
 /**
- * Records of upstreams for members that did not take them: they are kept here and handed over once the member
- * answers, so that each node has all departures before it could become primary.
+ * Records of upstreams for members that did not take them: they are kept here and handed over once
+ * the member answers, so that each node has all departures before it could become primary.
  */
 final class HintedHandoff {
     private static final long ANSWER = 500;
@@ -34,7 +34,8 @@
     /** Keeps a record for a member. */
     void keep(Member member, InstanceRecord record, long ofEpoch) {
         epoch = Math.max(epoch, ofEpoch);
-        Map<String, InstanceRecord> kept = hints.computeIfAbsent(member, m -> new LinkedHashMap<>());
+        Map<String, InstanceRecord> kept =
+                hints.computeIfAbsent(member, m -> new LinkedHashMap<>());
         if (kept.size() < MOST || kept.containsKey(record.id)) {
             kept.merge(record.id, record, InstanceRecord::later);
         }
@@ -62,11 +63,15 @@
         planned = false;
         for (Member member : new ArrayList<>(hints.keySet())) {
             List<InstanceRecord> records = new ArrayList<>(hints.get(member).values());
-            peers.call(member.address, ShareInstances.of(epoch, records), ANSWER, answer -> {
-                if (answer instanceof Acknowledge reply && reply.taken) {
-                    taken(member, records);
-                }
-            });
+            peers.call(
+                    member.address,
+                    ShareInstances.of(epoch, records),
+                    ANSWER,
+                    answer -> {
+                        if (answer instanceof Acknowledge reply && reply.taken) {
+                            taken(member, records);
+                        }
+                    });
         }
         plan();
     }
--- a/src/main/java/yewyoke/control/InstanceReader.java
+++ b/src/main/java/yewyoke/control/InstanceReader.java
@@ -8,14 +8,19 @@
 
 /** Reads the body of an upstream's heartbeat. */
 final class InstanceReader {
-    private InstanceReader() { }
+    private InstanceReader() {}
 
     static InstanceRecord read(String id, Map<String, Object> tree) {
         String state = text(tree, "state");
-        return InstanceRecord.of(id, text(tree, "backend"), text(tree, "address"),
-                String.valueOf(tree.getOrDefault("zone", "")), (int) number(tree, "capacity", 1),
+        return InstanceRecord.of(
+                id,
+                text(tree, "backend"),
+                text(tree, "address"),
+                String.valueOf(tree.getOrDefault("zone", "")),
+                (int) number(tree, "capacity", 1),
                 String.valueOf(tree.getOrDefault("generation", "")),
-                state.equals("draining") ? Stage.DRAINING : Stage.READY, number(tree, "sequence", 0));
+                state.equals("draining") ? Stage.DRAINING : Stage.READY,
+                number(tree, "sequence", 0));
     }
 
     private static String text(Map<String, Object> tree, String name) {
--- a/src/main/java/yewyoke/control/InstanceRegistry.java
+++ b/src/main/java/yewyoke/control/InstanceRegistry.java
@@ -8,7 +8,10 @@
 import yewyoke.message.InstanceRecord;
 import yewyoke.message.InstanceRecord.Stage;
 
-/** The upstreams that heartbeats tell of. Each change has a revision; what is gone is kept for a while. */
+/**
+ * The upstreams that heartbeats tell of. Each change has a revision; what is gone is kept for a
+ * while.
+ */
 final class InstanceRegistry {
     private static final long KEEP_GONE = 60_000;
 
@@ -39,7 +42,10 @@
         return false;
     }
 
-    /** Takes what other nodes knew; each counts as heard now, and none as lost: who said so may have been cut off. */
+    /**
+     * Takes what other nodes knew; each counts as heard now, and none as lost: who said so may have
+     * been cut off.
+     */
     void inherit(Collection<InstanceRecord> records, long now) {
         records.forEach(r -> take(r.stage == Stage.LOST ? r.at(Stage.READY) : r, now));
         for (Entry entry : entries.values()) {
@@ -78,10 +84,12 @@
     /** Takes upstreams for lost that have been silent for too long; whether any was. */
     boolean expire(long now, long longestSilence) {
         boolean changed = false;
-        entries.values().removeIf(e -> !e.record.stage.equals(Stage.READY) && now - e.heardAt > KEEP_GONE);
+        entries.values()
+                .removeIf(e -> !e.record.stage.equals(Stage.READY) && now - e.heardAt > KEEP_GONE);
         for (Entry entry : entries.values()) {
             boolean silent = now - entry.heardAt > longestSilence;
-            boolean lives = entry.record.stage == Stage.READY || entry.record.stage == Stage.DRAINING;
+            boolean lives =
+                    entry.record.stage == Stage.READY || entry.record.stage == Stage.DRAINING;
             if (silent && lives) {
                 boolean leaves = entry.record.stage == Stage.DRAINING;
                 entry.record = entry.record.at(leaves ? Stage.GONE : Stage.LOST);
--- a/src/main/java/yewyoke/control/Main.java
+++ b/src/main/java/yewyoke/control/Main.java
@@ -23,7 +23,7 @@
     private static final Logger LOG = LogManager.getLogger(Main.class);
     private static final long HAND_OVER = 300;
 
-    private Main() { }
+    private Main() {}
 
     /** Runs the program; see {@link ControlCommand} for its words. */
     public static void main(String[] arguments) {
@@ -31,7 +31,8 @@
     }
 
     /** Serves until SIGTERM. */
-    static void serve(NodeSettings settings) throws InterruptedException, ReflectiveOperationException {
+    static void serve(NodeSettings settings)
+            throws InterruptedException, ReflectiveOperationException {
         EventLoop loop = new EventLoop();
         GenerationStore store = new GenerationStore(java.nio.file.Path.of(settings.dataFolder()));
         StoredState onDisk = store.load();
@@ -40,22 +41,46 @@
         loop.start();
         PeerClient peers = new PeerClient(loop);
         NodeSettings.Bounds bounds = settings.bounds();
-        ControlPlane plane = new ControlPlane(loop, peers, settings.toleratedMachines(),
-                settings.heartbeatMs(), bounds.quotaOverage(), bounds.quotaSlack());
-        Replica replica = new Replica(options(settings), onDisk, UUID.randomUUID().toString(), loop, disk,
-                peers, plane, plane::instances);
-        loop.execute(() -> {
-            plane.attach(replica);
-            new MessageServer(loop, settings.ip(), settings.firstPort(), plane::receive);
-            new HttpServer(loop, settings.control().host(), settings.control().port(), plane::handle);
-            replica.start();
-        });
+        ControlPlane plane =
+                new ControlPlane(
+                        loop,
+                        peers,
+                        settings.toleratedMachines(),
+                        settings.heartbeatMs(),
+                        bounds.quotaOverage(),
+                        bounds.quotaSlack());
+        Replica replica =
+                new Replica(
+                        options(settings),
+                        onDisk,
+                        UUID.randomUUID().toString(),
+                        loop,
+                        disk,
+                        peers,
+                        plane,
+                        plane::instances);
+        loop.execute(
+                () -> {
+                    plane.attach(replica);
+                    new MessageServer(loop, settings.ip(), settings.firstPort(), plane::receive);
+                    new HttpServer(
+                            loop,
+                            settings.control().host(),
+                            settings.control().port(),
+                            plane::handle);
+                    replica.start();
+                });
         java.util.concurrent.CountDownLatch ended = new java.util.concurrent.CountDownLatch(1);
-        Signals.on("TERM", () -> loop.execute(() -> {
-            replica.resign("asked to end");
-            loop.schedule(HAND_OVER, ended::countDown);
-        }));
-        Signals.on("HUP", () -> loop.execute(() -> LOG.info("settings are read at each start only")));
+        Signals.on(
+                "TERM",
+                () ->
+                        loop.execute(
+                                () -> {
+                                    replica.resign("asked to end");
+                                    loop.schedule(HAND_OVER, ended::countDown);
+                                }));
+        Signals.on(
+                "HUP", () -> loop.execute(() -> LOG.info("settings are read at each start only")));
         LOG.info("control node {} at {}", settings.nodeName(), settings.control());
         ended.await();
         Runtime.getRuntime().halt(0);
--- a/src/main/java/yewyoke/control/QuotaBank.java
+++ b/src/main/java/yewyoke/control/QuotaBank.java
@@ -8,8 +8,9 @@
 import yewyoke.message.QuotaGrant;
 
 /**
- * The quotas of all tenants, in one place: a bucket for each, from which balancers take what their requests
- * count. A request may leave a debt, so that large ones are not passed over for small ones.
+ * The quotas of all tenants, in one place: a bucket for each, from which balancers take what their
+ * requests count. A request may leave a debt, so that large ones are not passed over for small
+ * ones.
  */
 final class QuotaBank {
     private static final double OVERAGE_USED = 0.5;
@@ -74,10 +75,13 @@
         }
         bucket.fill(now);
         if (bucket.level <= 0) {
-            return QuotaGrant.of(true, 0, Math.max(1, Math.round(-bucket.level / bucket.rate * 1_000)));
+            return QuotaGrant.of(
+                    true, 0, Math.max(1, Math.round(-bucket.level / bucket.rate * 1_000)));
         }
-        double ahead = bucket.level > FULL * bucket.most
-                ? Math.min(ask.units, AHEAD * (bucket.level - FULL * bucket.most)) : 0;
+        double ahead =
+                bucket.level > FULL * bucket.most
+                        ? Math.min(ask.units, AHEAD * (bucket.level - FULL * bucket.most))
+                        : 0;
         bucket.level -= ask.units + ahead;
         return QuotaGrant.of(true, ask.units + ahead, 0);
     }
--- a/src/main/java/yewyoke/control/Rehearsal.java
+++ b/src/main/java/yewyoke/control/Rehearsal.java
@@ -23,24 +23,33 @@
 import yewyoke.rpc.PeerClient;
 
 /**
- * A control node that serves itself on the loopback for a moment. The build runs it to learn which classes a
- * start needs; they are kept in an archive from which they load at a fraction of the processor time.
+ * A control node that serves itself on the loopback for a moment. The build runs it to learn which
+ * classes a start needs; they are kept in an archive from which they load at a fraction of the
+ * processor time.
  */
 final class Rehearsal {
     private static final long LONGEST = 10_000;
     private static final long STEP = 700;
     private static final String HOST = "127.0.0.1";
-    private static final String DOCUMENT = "{\"generation\":3,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
-            + "\"path_prefix\":\"/a/\",\"type\":\"streaming\",\"timeout_ms\":8000,\"traffic_split\":[{"
-            + "\"backend\":\"s\",\"weight\":1.5}],\"retries\":2,\"resumable\":true}],\"services\":[{\"name\":"
-            + "\"s\",\"engine\":{\"capacity\":64,\"kv_tokens\":1000,\"stride\":5}}],\"limits\":{"
-            + "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"],\"priority\":1,"
-            + "\"unit\":\"tokens\",\"plain_tokens\":200,\"rate_per_s\":100,\"burst\":100}]}";
-    private static final String CHANGE = "{\"generation\":5,\"upsert\":{\"routes\":[{\"name\":\"q\","
-            + "\"hostname\":\"h\",\"path_prefix\":\"/b/\",\"type\":\"idempotent\",\"timeout_ms\":800,"
-            + "\"backend\":\"s\"}]},\"delete\":{\"routes\":[\"x\"]}}";
-    private static final String HEARTBEAT = "{\"backend\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
-            + "\"generation\":\"v1\",\"capacity\":64,\"state\":\"ready\",\"sequence\":1}";
+    private static final String DOCUMENT =
+            "{\"generation\":3,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+                    + "\"path_prefix\":\"/a/\",\"type\":\"streaming\",\"timeout_ms\":8000,"
+                    + "\"traffic_split\":[{"
+                    + "\"backend\":\"s\",\"weight\":1.5}],\"retries\":2,\"resumable\":true}],"
+                    + "\"services\":[{\"name\":"
+                    + "\"s\",\"engine\":{\"capacity\":64,\"kv_tokens\":1000,\"stride\":5}}],"
+                    + "\"limits\":{"
+                    + "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"t\","
+                    + "\"api_keys\":[\"k\"],\"priority\":1,"
+                    + "\"unit\":\"tokens\",\"plain_tokens\":200,\"rate_per_s\":100,\"burst\":100}]}";
+    private static final String CHANGE =
+            "{\"generation\":5,\"upsert\":{\"routes\":[{\"name\":\"q\","
+                    + "\"hostname\":\"h\",\"path_prefix\":\"/b/\",\"type\":\"idempotent\","
+                    + "\"timeout_ms\":800,"
+                    + "\"backend\":\"s\"}]},\"delete\":{\"routes\":[\"x\"]}}";
+    private static final String HEARTBEAT =
+            "{\"backend\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
+                    + "\"generation\":\"v1\",\"capacity\":64,\"state\":\"ready\",\"sequence\":1}";
 
     private final EventLoop loop = new EventLoop();
     private final CountDownLatch done = new CountDownLatch(1);
@@ -71,34 +80,47 @@
         PeerClient peers = new PeerClient(loop);
         ControlPlane plane = new ControlPlane(loop, peers, 0, 200, 0.1, 100);
         Member self = Member.of(HOST + ":" + internal, HOST + ":" + control, "");
-        Replica replica = new Replica(new ReplicaOptions(self, 0, true, List.of(self)), null, "rehearsal", loop,
-                disk, peers, plane, plane::instances);
-        loop.execute(() -> {
-            plane.attach(replica);
-            new MessageServer(loop, HOST, internal, plane::receive);
-            new HttpServer(loop, HOST, control, plane::handle);
-            replica.start();
-            loop.schedule(STEP, () -> callAll(store));
-        });
+        Replica replica =
+                new Replica(
+                        new ReplicaOptions(self, 0, true, List.of(self)),
+                        null,
+                        "rehearsal",
+                        loop,
+                        disk,
+                        peers,
+                        plane,
+                        plane::instances);
+        loop.execute(
+                () -> {
+                    plane.attach(replica);
+                    new MessageServer(loop, HOST, internal, plane::receive);
+                    new HttpServer(loop, HOST, control, plane::handle);
+                    replica.start();
+                    loop.schedule(STEP, () -> callAll(store));
+                });
     }
 
     private void callAll(GenerationStore store) {
         call("PUT", "/config", "0", DOCUMENT);
         call("PUT", "/instances/i", "", HEARTBEAT);
-        loop.schedule(STEP, () -> {
-            call("PATCH", "/config", "3", CHANGE);
-            call("PUT", "/config", "3", "{\"generation\":2}");
-            call("GET", "/config", "", "");
-            call("GET", "/status", "", "");
-            call("DELETE", "/instances/i", "", "");
-            PeerClient peers = new PeerClient(loop);
-            peers.call(HOST + ":" + internal, new Poll(), STEP, answer -> { });
-            peers.call(HOST + ":" + internal, QuotaAsk.of("t", 1), STEP, answer -> { });
-            loop.schedule(2 * STEP, () -> {
-                store.load();
-                done.countDown();
-            });
-        });
+        loop.schedule(
+                STEP,
+                () -> {
+                    call("PATCH", "/config", "3", CHANGE);
+                    call("PUT", "/config", "3", "{\"generation\":2}");
+                    call("GET", "/config", "", "");
+                    call("GET", "/status", "", "");
+                    call("DELETE", "/instances/i", "", "");
+                    PeerClient peers = new PeerClient(loop);
+                    peers.call(HOST + ":" + internal, new Poll(), STEP, answer -> {});
+                    peers.call(HOST + ":" + internal, QuotaAsk.of("t", 1), STEP, answer -> {});
+                    loop.schedule(
+                            2 * STEP,
+                            () -> {
+                                store.load();
+                                done.countDown();
+                            });
+                });
     }
 
     private void call(String method, String path, String match, String body) {
@@ -106,7 +128,11 @@
         if (!match.isEmpty()) {
             headers.add("If-Match", match);
         }
-        OneCall.send(loop, HOST, control, new RequestHead(method, path, headers),
+        OneCall.send(
+                loop,
+                HOST,
+                control,
+                new RequestHead(method, path, headers),
                 body.getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/src/main/java/yewyoke/dataplane/Admission.java
+++ b/src/main/java/yewyoke/dataplane/Admission.java
@@ -4,7 +4,9 @@
 import yewyoke.configuration.Service;
 import yewyoke.configuration.Tenant;
 
-/** Whether a request is taken: by the time to its first event that is expected where it would go. */
+/**
+ * Whether a request is taken: by the time to its first event that is expected where it would go.
+ */
 final class Admission {
     private static final long LEAST_PATIENCE = 2_000;
     private static final long TARGETS = 4;
@@ -16,12 +18,15 @@
     private static final long LONGEST_PAUSE = 1_500;
 
     /** 0 if the request is taken, else milliseconds after which a new try makes sense. */
-    long comeBackAfter(Route route, Service service, Placement.Pick pick, long timeLeft, Tenant tenant) {
+    long comeBackAfter(
+            Route route, Service service, Placement.Pick pick, long timeLeft, Tenant tenant) {
         double expected = pick.expectedMs();
         double patience = timeLeft;
         if (service.engine() != null) {
-            long longest = Math.max(LEAST_PATIENCE, Math.max(TARGETS * route.targetLatencyMs(),
-                    GAPS * route.gapAimMs()));
+            long longest =
+                    Math.max(
+                            LEAST_PATIENCE,
+                            Math.max(TARGETS * route.targetLatencyMs(), GAPS * route.gapAimMs()));
             patience = Math.min(timeLeft, longest);
         }
         int rank = Math.min(LAST_RANK, route.priority());
--- a/src/main/java/yewyoke/dataplane/Attempt.java
+++ b/src/main/java/yewyoke/dataplane/Attempt.java
@@ -9,7 +9,12 @@
     private static final long CONNECT_TIMEOUT = 500;
 
     /** How far an attempt has come. */
-    enum State { CONNECTING, SENT, ANSWERED, ENDED }
+    enum State {
+        CONNECTING,
+        SENT,
+        ANSWERED,
+        ENDED
+    }
 
     /** Who hears what becomes of an attempt. */
     interface Listener {
@@ -41,7 +46,12 @@
     private long sentAt;
     private boolean begun;
 
-    Attempt(Placement.Pick pick, RequestHead head, byte[] body, Scheduler scheduler, Listener listener) {
+    Attempt(
+            Placement.Pick pick,
+            RequestHead head,
+            byte[] body,
+            Scheduler scheduler,
+            Listener listener) {
         this.upstream = pick.upstream();
         this.pick = pick;
         this.head = head;
@@ -114,7 +124,8 @@
         }
     }
 
-    @Override public void ready(UpstreamLinks.Link used) {
+    @Override
+    public void ready(UpstreamLinks.Link used) {
         if (!used.ready()) {
             used.close(); // it ended while its standing was told
             refused();
@@ -127,32 +138,37 @@
         used.send(head, body);
     }
 
-    @Override public void refused() {
+    @Override
+    public void refused() {
         finish();
         listener.notSent(this);
     }
 
-    @Override public void head(ResponseHead answer) {
+    @Override
+    public void head(ResponseHead answer) {
         state = State.ANSWERED;
         upstream.byteArrived(scheduler.now());
         listener.head(this, answer);
     }
 
-    @Override public void body(byte[] bytes) {
+    @Override
+    public void body(byte[] bytes) {
         upstream.byteArrived(scheduler.now());
         if (state != State.ENDED) {
             listener.body(this, bytes);
         }
     }
 
-    @Override public void end() {
+    @Override
+    public void end() {
         if (state != State.ENDED) {
             finish();
             listener.whole(this);
         }
     }
 
-    @Override public void broken() {
+    @Override
+    public void broken() {
         if (state != State.ENDED) {
             finish();
             listener.broken(this);
--- a/src/main/java/yewyoke/dataplane/Connections.java
+++ b/src/main/java/yewyoke/dataplane/Connections.java
@@ -25,11 +25,13 @@
         this.loop = loop;
     }
 
-    @Override public int openTo(Upstream upstream) {
+    @Override
+    public int openTo(Upstream upstream) {
         return open.getOrDefault(upstream, 0);
     }
 
-    @Override public int idleTo(Upstream upstream) {
+    @Override
+    public int idleTo(Upstream upstream) {
         ArrayDeque<Connection> links = idle.get(upstream);
         return links == null ? 0 : links.size();
     }
@@ -38,7 +40,8 @@
         return opened;
     }
 
-    @Override public Link use(Upstream upstream, User user, boolean onlyFresh) {
+    @Override
+    public Link use(Upstream upstream, User user, boolean onlyFresh) {
         ArrayDeque<Connection> links = idle.computeIfAbsent(upstream, u -> new ArrayDeque<>());
         long now = loop.now();
         Connection link = links.pollLast();
@@ -56,19 +59,28 @@
         open.merge(upstream, 1, Integer::sum);
         opened++;
         int colon = upstream.record().address.lastIndexOf(':');
-        created.connection = HttpConnection.connect(loop, upstream.record().address.substring(0, colon),
-                Integer.parseInt(upstream.record().address.substring(colon + 1)), created);
+        created.connection =
+                HttpConnection.connect(
+                        loop,
+                        upstream.record().address.substring(0, colon),
+                        Integer.parseInt(upstream.record().address.substring(colon + 1)),
+                        created);
         return created;
     }
 
-    /** Closes connections at rest whose time is over, and those to upstreams that take no more requests. */
-    @Override public void closeIdle() {
+    /**
+     * Closes connections at rest whose time is over, and those to upstreams that take no more
+     * requests.
+     */
+    @Override
+    public void closeIdle() {
         long now = loop.now();
         for (ArrayDeque<Connection> links : idle.values()) {
             Iterator<Connection> each = links.iterator();
             while (each.hasNext()) {
                 Connection link = each.next();
-                if (now - link.restingSince >= link.longestRest || link.upstream.record().leaving()) {
+                if (now - link.restingSince >= link.longestRest
+                        || link.upstream.record().leaving()) {
                     each.remove();
                     link.close();
                 }
@@ -91,15 +103,18 @@
             this.user = user;
         }
 
-        @Override public boolean ready() {
+        @Override
+        public boolean ready() {
             return connection.ready();
         }
 
-        @Override public void send(RequestHead head, byte[] body) {
+        @Override
+        public void send(RequestHead head, byte[] body) {
             connection.send(head, body);
         }
 
-        @Override public void close() {
+        @Override
+        public void close() {
             user = null;
             connection.close();
             uncount();
@@ -113,13 +128,15 @@
             }
         }
 
-        @Override public void connected() {
+        @Override
+        public void connected() {
             if (user != null) {
                 user.ready(this);
             }
         }
 
-        @Override public void head(ResponseHead head) {
+        @Override
+        public void head(ResponseHead head) {
             String keepAlive = head.headers().get("Keep-Alive");
             if (keepAlive != null) {
                 longestRest = restOf(keepAlive);
@@ -144,13 +161,15 @@
             return LONGEST_REST;
         }
 
-        @Override public void body(byte[] bytes) {
+        @Override
+        public void body(byte[] bytes) {
             if (user != null) {
                 user.body(bytes);
             }
         }
 
-        @Override public void end(boolean reusable) {
+        @Override
+        public void end(boolean reusable) {
             User ended = user;
             user = null;
             if (reusable && !upstream.record().leaving() && idleTo(upstream) < MOST_IDLE) {
@@ -165,7 +184,8 @@
             }
         }
 
-        @Override public void closed(boolean everConnected) {
+        @Override
+        public void closed(boolean everConnected) {
             uncount();
             ArrayDeque<Connection> links = idle.get(upstream);
             if (links != null) {
--- a/src/main/java/yewyoke/dataplane/ControlPoller.java
+++ b/src/main/java/yewyoke/dataplane/ControlPoller.java
@@ -22,12 +22,13 @@
 import yewyoke.replication.Peers;
 
 /**
- * Long polls to the control plane: each names what this balancer has and is answered once there is more. What
- * is taken never goes back: answers of lower epochs and older generations are left.
+ * Long polls to the control plane: each names what this balancer has and is answered once there is
+ * more. What is taken never goes back: answers of lower epochs and older generations are left.
  */
 final class ControlPoller {
     private static final Logger LOG = LogManager.getLogger(ControlPoller.class);
-    private static final long TIMEOUT = 750; // the hold of a poll and what a round trip may take beyond it
+    private static final long TIMEOUT =
+            750; // the hold of a poll and what a round trip may take beyond it
     private static final long PAUSE = 50;
     private static final long AVOIDED = 1_500;
     private static final long SILENT = 400; // an answer that stays out for so long: nobody is there
@@ -55,8 +56,14 @@
     private long memberRevision;
     private boolean leaving;
 
-    ControlPoller(Scheduler scheduler, Peers peers, Router router, String balancer, String address,
-            MembershipAgent agent, Supplier<List<String>> seedSource) {
+    ControlPoller(
+            Scheduler scheduler,
+            Peers peers,
+            Router router,
+            String balancer,
+            String address,
+            MembershipAgent agent,
+            Supplier<List<String>> seedSource) {
         this.scheduler = scheduler;
         this.peers = peers;
         this.router = router;
@@ -143,7 +150,8 @@
         }
         if (!(message instanceof PollReply reply)) {
             if (scheduler.now() - askedAt > SILENT) {
-                avoidUntil.put(target, scheduler.now() + AVOIDED); // one that refuses may just be starting
+                avoidUntil.put(
+                        target, scheduler.now() + AVOIDED); // one that refuses may just be starting
             }
             if (++failures % READ_SEEDS_AFTER == 0) {
                 readSeeds();
@@ -175,7 +183,8 @@
         revision = reply.revision;
         router.directory().take(reply.instances, reply.whole && reply.complete);
         if (reply.generation > generation && reply.document.length > 0) {
-            Configuration next = Configuration.read(Json.readObject(Compression.inflate(reply.document)));
+            Configuration next =
+                    Configuration.read(Json.readObject(Compression.inflate(reply.document)));
             router.use(next);
             generation = reply.generation;
             LOG.info("generation {} is in force", generation);
--- a/src/main/java/yewyoke/dataplane/DataCommand.java
+++ b/src/main/java/yewyoke/dataplane/DataCommand.java
@@ -16,15 +16,16 @@
 final class DataCommand {
     private static final int USAGE = 2;
     private static final String WORDS = "yewyoke-data serve | check [FILE] | rehearse";
-    private static final String FOOTER = """
+    private static final String FOOTER =
+            """
 
-            serve         serve with the settings that MYRTLELADDER_CONFIG names
-            check [FILE]  check a settings file
-            rehearse      serve requests of its own on the loopback and end
+serve         serve with the settings that MYRTLELADDER_CONFIG names
+check [FILE]  check a settings file
+rehearse      serve requests of its own on the loopback and end
 
-            Exit codes: 0 done, 1 failed with a numbered result, 2 the command line is wrong.""";
+Exit codes: 0 done, 1 failed with a numbered result, 2 the command line is wrong.""";
 
-    private DataCommand() { }
+    private DataCommand() {}
 
     static int run(String[] arguments) {
         Options options = new Options();
@@ -53,8 +54,10 @@
                 return rehearse();
             }
             case "check" -> {
-                NodeSettings settings = words.size() > 1 ? NodeSettings.read(Path.of(words.get(1)))
-                        : NodeSettings.fromEnvironment();
+                NodeSettings settings =
+                        words.size() > 1
+                                ? NodeSettings.read(Path.of(words.get(1)))
+                                : NodeSettings.fromEnvironment();
                 System.out.println(settings + "\nsettings are sound");
             }
             default -> {
@@ -76,8 +79,11 @@
 
     private static void serve() {
         NodeSettings settings = NodeSettings.fromEnvironment();
-        if (settings.frontend() == null || settings.readiness() == null || settings.seeds().isEmpty()) {
-            throw new SettingsException(ResultCode.SETTINGS_VALUE,
+        if (settings.frontend() == null
+                || settings.readiness() == null
+                || settings.seeds().isEmpty()) {
+            throw new SettingsException(
+                    ResultCode.SETTINGS_VALUE,
                     "a balancer needs listen.frontend, listen.readiness and seeds");
         }
         try {
--- a/src/main/java/yewyoke/dataplane/EventSplitter.java
+++ b/src/main/java/yewyoke/dataplane/EventSplitter.java
@@ -10,7 +10,9 @@
 
     /** Who takes events. */
     interface Listener {
-        /** A whole event with the empty line behind it; {@code id} is {@link #NO_ID} if it has none. */
+        /**
+         * A whole event with the empty line behind it; {@code id} is {@link #NO_ID} if it has none.
+         */
         void event(byte[] bytes, long id);
     }
 
--- a/src/main/java/yewyoke/dataplane/Exchange.java
+++ b/src/main/java/yewyoke/dataplane/Exchange.java
@@ -11,7 +11,10 @@
 import yewyoke.io.ResponseHead;
 import yewyoke.io.ServerExchange;
 
-/** A client's request from its arrival to its one final answer, over as many upstreams as that takes. */
+/**
+ * A client's request from its arrival to its one final answer, over as many upstreams as that
+ * takes.
+ */
 final class Exchange implements Attempt.Listener {
     private static final byte[] NO_BYTES = {};
     private static final long MARGIN = 40;
@@ -24,7 +27,12 @@
     private static final int PRIORITY_STEP = 3;
     private static final int LAST_PRIORITY = 9;
 
-    private enum State { PLACING, AWAITING, STREAMING, DONE }
+    private enum State {
+        PLACING,
+        AWAITING,
+        STREAMING,
+        DONE
+    }
 
     private final Router router;
     private final ServerExchange client;
@@ -48,7 +56,13 @@
     private long lastEvent;
     private boolean anyEvent;
 
-    Exchange(Router router, ServerExchange client, Route route, Service service, Tenant tenant, double cost) {
+    Exchange(
+            Router router,
+            ServerExchange client,
+            Route route,
+            Service service,
+            Tenant tenant,
+            double cost) {
         this.router = router;
         this.client = client;
         this.route = route;
@@ -59,7 +73,8 @@
         this.prompt = PromptParts.parse(headers.get(Names.PREFIX));
         this.attemptId = headers.get(Names.ATTEMPT);
         this.arrivedAt = router.now();
-        long patience = Math.min(headers.number(Names.DEADLINE, route.timeoutMs()), route.timeoutMs());
+        long patience =
+                Math.min(headers.number(Names.DEADLINE, route.timeoutMs()), route.timeoutMs());
         this.deadlineAt = arrivedAt + patience;
         this.lastEvent = headers.number(Names.LAST_EVENT, EventSplitter.NO_ID);
         client.onGone(this::clientGone);
@@ -72,7 +87,8 @@
         }
     }
 
-    // ---- Placing -------------------------------------------------------------------------------------
+    // ---- Placing
+    // -------------------------------------------------------------------------------------
 
     /** Sends the request to an upstream, or answers at once if none can take it. */
     void place() {
@@ -88,7 +104,9 @@
             return;
         }
         if (sends == 0 && unsent == 0) {
-            long wait = router.admission().comeBackAfter(route, service, pick, deadlineAt - now, tenant);
+            long wait =
+                    router.admission()
+                            .comeBackAfter(route, service, pick, deadlineAt - now, tenant);
             if (wait > 0) {
                 router.count(Counters.Event.REFUSED);
                 refuse(wait);
@@ -104,8 +122,9 @@
         tried.add(upstream);
         splitter = new EventSplitter();
         whole.reset();
-        RequestHead head = new RequestHead(client.head().method(), client.head().target(),
-                headers(upstream, now));
+        RequestHead head =
+                new RequestHead(
+                        client.head().method(), client.head().target(), headers(upstream, now));
         current = new Attempt(pick, head, client.body(), router.scheduler(), this);
         current.start(router.connections(), !route.repeatable());
     }
@@ -122,14 +141,18 @@
             headers.add(Names.TENANT, tenant.name());
         }
         if (service.engine() != null) {
-            headers.add(Names.PRIORITY, Integer.toString(Math.min(LAST_PRIORITY, before + route.priority())));
+            headers.add(
+                    Names.PRIORITY,
+                    Integer.toString(Math.min(LAST_PRIORITY, before + route.priority())));
         }
         return headers;
     }
 
-    // ---- What becomes of an attempt ------------------------------------------------------------------
+    // ---- What becomes of an attempt
+    // ------------------------------------------------------------------
 
-    @Override public void notSent(Attempt attempt) {
+    @Override
+    public void notSent(Attempt attempt) {
         if (attempt != current) {
             return;
         }
@@ -143,14 +166,16 @@
         }
     }
 
-    @Override public void head(Attempt attempt, ResponseHead head) {
+    @Override
+    public void head(Attempt attempt, ResponseHead head) {
         if (attempt != current) {
             return;
         }
         sends++;
         long now = router.now();
         attempt.upstream().reported(head.headers().get(Names.LOAD), now);
-        boolean rejected = head.status() == MISDIRECTED || head.headers().get(Names.NOT_EXECUTED) != null;
+        boolean rejected =
+                head.status() == MISDIRECTED || head.headers().get(Names.NOT_EXECUTED) != null;
         if (rejected) {
             rejected(attempt, head);
             return;
@@ -188,7 +213,8 @@
         }
     }
 
-    @Override public void body(Attempt attempt, byte[] bytes) {
+    @Override
+    public void body(Attempt attempt, byte[] bytes) {
         if (attempt != current) {
             return;
         }
@@ -233,7 +259,8 @@
         attempt.upstream().memory().sent(prompt, now);
     }
 
-    @Override public void whole(Attempt attempt) {
+    @Override
+    public void whole(Attempt attempt) {
         if (attempt != current) {
             return;
         }
@@ -252,7 +279,8 @@
             return;
         }
         noteAnswer(attempt);
-        byte[] body = route.streaming() && answer.status() < 300 ? splitter.rest() : whole.toByteArray();
+        byte[] body =
+                route.streaming() && answer.status() < 300 ? splitter.rest() : whole.toByteArray();
         answerAndEnd(answer.status(), Names.passedOn(answer.headers()), body);
     }
 
@@ -265,7 +293,8 @@
         }
     }
 
-    @Override public void broken(Attempt attempt) {
+    @Override
+    public void broken(Attempt attempt) {
         if (attempt == current) {
             sends += attempt.state() == Attempt.State.ENDED && answer == null ? 1 : 0;
             failed(attempt);
@@ -286,11 +315,13 @@
     }
 
     private boolean mayRepeat() {
-        return tried.size() < route.retries() && router.now() < deadlineAt - MARGIN
+        return tried.size() < route.retries()
+                && router.now() < deadlineAt - MARGIN
                 && router.budget().take(service.name());
     }
 
-    // ---- Time ----------------------------------------------------------------------------------------
+    // ---- Time
+    // ----------------------------------------------------------------------------------------
 
     /** Looks at the time: a deadline that is reached, or an upstream that says nothing. */
     void check(long now) {
@@ -327,9 +358,13 @@
         return MODEL_SILENCE + 2 * upstream.backlogTokens() * router.placement().msPerToken();
     }
 
-    // ---- The final answer ----------------------------------------------------------------------------
+    // ---- The final answer
+    // ----------------------------------------------------------------------------
 
-    /** Ends the request as it stands: a refusal if it never ran, else a failure that promises nothing. */
+    /**
+     * Ends the request as it stands: a refusal if it never ran, else a failure that promises
+     * nothing.
+     */
     private void giveUp() {
         Attempt running = current;
         current = null;
--- a/src/main/java/yewyoke/dataplane/Hashes.java
+++ b/src/main/java/yewyoke/dataplane/Hashes.java
@@ -5,7 +5,7 @@
     private static final long PRIME = 0x100000001b3L;
     private static final long BASIS = 0xcbf29ce484222325L;
 
-    private Hashes() { }
+    private Hashes() {}
 
     static long of(String text) {
         long hash = BASIS;
--- a/src/main/java/yewyoke/dataplane/Main.java
+++ b/src/main/java/yewyoke/dataplane/Main.java
@@ -58,7 +58,8 @@
     }
 
     /** Serves until SIGTERM and the end of what is under way. */
-    static void serve(NodeSettings settings) throws InterruptedException, ReflectiveOperationException {
+    static void serve(NodeSettings settings)
+            throws InterruptedException, ReflectiveOperationException {
         Main main = new Main(settings, settings.firstPort(), new EventLoop());
         main.loop.start();
         main.loop.execute(main::begin);
@@ -70,22 +71,43 @@
 
     private void begin() {
         NodeSettings.Bounds bounds = settings.bounds();
-        router = new Router(loop, new Connections(loop),
-                new RetryBudget(bounds.budgetRatio(), bounds.budgetSlack()),
-                (ask, timeout, answer) -> poller.ask(ask, timeout, answer), System.nanoTime());
+        router =
+                new Router(
+                        loop,
+                        new Connections(loop),
+                        new RetryBudget(bounds.budgetRatio(), bounds.budgetSlack()),
+                        (ask, timeout, answer) -> poller.ask(ask, timeout, answer),
+                        System.nanoTime());
         PeerClient peers = new PeerClient(loop);
         MembershipAgent agent = new MembershipAgent(loop, peers, settings.nodeName());
-        poller = new ControlPoller(loop, peers, router, settings.nodeName(),
-                settings.ip() + ":" + internalPort, agent, this::seedsNow);
-        new MessageServer(loop, settings.ip(), internalPort, (message, answer) -> {
-            if (message instanceof Alive alive) {
-                agent.heard(alive);
-            }
-            answer.accept(Acknowledge.of(message instanceof Alive, 0, null));
-        });
+        poller =
+                new ControlPoller(
+                        loop,
+                        peers,
+                        router,
+                        settings.nodeName(),
+                        settings.ip() + ":" + internalPort,
+                        agent,
+                        this::seedsNow);
+        new MessageServer(
+                loop,
+                settings.ip(),
+                internalPort,
+                (message, answer) -> {
+                    if (message instanceof Alive alive) {
+                        agent.heard(alive);
+                    }
+                    answer.accept(Acknowledge.of(message instanceof Alive, 0, null));
+                });
         agent.start();
-        new HttpServer(loop, settings.readiness().host(), settings.readiness().port(), this::readiness);
-        front = new HttpServer(loop, settings.frontend().host(), settings.frontend().port(), router::handle);
+        new HttpServer(
+                loop, settings.readiness().host(), settings.readiness().port(), this::readiness);
+        front =
+                new HttpServer(
+                        loop,
+                        settings.frontend().host(),
+                        settings.frontend().port(),
+                        router::handle);
         router.start();
         poller.start();
         checkIdle();
@@ -118,7 +140,8 @@
             return;
         }
         ClientLimits limits = router.configuration().limits();
-        // A client rests by what it was told last; a bound that became shorter holds for later answers.
+        // A client rests by what it was told last; a bound that became shorter holds for later
+        // answers.
         longestIdle = Math.max(longestIdle, limits.idleTimeoutMs());
         front.limitBody(limits.maxBodyBytes());
         front.closeIdle(longestIdle + REST_MARGIN, limits.headerTimeoutMs() + REST_MARGIN);
--- a/src/main/java/yewyoke/dataplane/Names.java
+++ b/src/main/java/yewyoke/dataplane/Names.java
@@ -19,13 +19,29 @@
     static final String AUTHORIZATION = "Authorization";
     static final String RETRY_AFTER = "Retry-After";
 
-    private static final Set<String> OF_ONE_CONNECTION = Set.of("connection", "keep-alive", "te", "trailer",
-            "transfer-encoding", "upgrade", "proxy-connection", "proxy-authenticate", "proxy-authorization",
-            "content-length", "expect");
-    private static final Set<String> OF_THE_FLEET = Set.of("authorization", "myrtleladder-tenant",
-            "myrtleladder-expect-instance", "priority", "myrtleladder-deadline-ms", "last-event-id");
+    private static final Set<String> OF_ONE_CONNECTION =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "proxy-connection",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "content-length",
+                    "expect");
+    private static final Set<String> OF_THE_FLEET =
+            Set.of(
+                    "authorization",
+                    "myrtleladder-tenant",
+                    "myrtleladder-expect-instance",
+                    "priority",
+                    "myrtleladder-deadline-ms",
+                    "last-event-id");
 
-    private Names() { }
+    private Names() {}
 
     /** What of a client's fields an upstream receives; the fleet's own are added by the caller. */
     static Headers forUpstream(Headers client) {
@@ -38,15 +54,21 @@
     static Headers passedOn(Headers source) {
         Headers passed = new Headers();
         String named = source.get("Connection");
-        Set<String> ofThisOne = named == null ? Set.of()
-                : Set.of(java.util.Arrays.stream(named.toLowerCase().split(",")).map(String::trim)
-                        .distinct().toArray(String[]::new));
-        source.forEach((name, value) -> {
-            String lower = name.toLowerCase();
-            if (!OF_ONE_CONNECTION.contains(lower) && !ofThisOne.contains(lower)) {
-                passed.add(name, value);
-            }
-        });
+        Set<String> ofThisOne =
+                named == null
+                        ? Set.of()
+                        : Set.of(
+                                java.util.Arrays.stream(named.toLowerCase().split(","))
+                                        .map(String::trim)
+                                        .distinct()
+                                        .toArray(String[]::new));
+        source.forEach(
+                (name, value) -> {
+                    String lower = name.toLowerCase();
+                    if (!OF_ONE_CONNECTION.contains(lower) && !ofThisOne.contains(lower)) {
+                        passed.add(name, value);
+                    }
+                });
         return passed;
     }
 }
--- a/src/main/java/yewyoke/dataplane/Placement.java
+++ b/src/main/java/yewyoke/dataplane/Placement.java
@@ -10,8 +10,9 @@
 import yewyoke.configuration.Service;
 
 /**
- * Which upstream a request goes to. Health, kept parts of prompts and the expected time to the first event
- * narrow the candidates; among those, picks go by weight / (in-flight + 1)^bias, earliest deadline first.
+ * Which upstream a request goes to. Health, kept parts of prompts and the expected time to the
+ * first event narrow the candidates; among those, picks go by weight / (in-flight + 1)^bias,
+ * earliest deadline first.
  */
 final class Placement {
     private static final double MODEL_BIAS = 3; // a clearly shorter line nearly always wins
@@ -39,8 +40,11 @@
         this.connections = connections;
     }
 
-    /** An upstream with what a request would find there; {@code ownMs} is the part that our requests explain. */
-    record Pick(Upstream upstream, int tokensToRead, double expectedMs, double ownMs) { }
+    /**
+     * An upstream with what a request would find there; {@code ownMs} is the part that our requests
+     * explain.
+     */
+    record Pick(Upstream upstream, int tokensToRead, double expectedMs, double ownMs) {}
 
     void balancers(int count) {
         balancers = Math.max(1, count);
@@ -64,7 +68,8 @@
             return;
         }
         double sample = Math.max(0, tookMs - BASE_MS) / tokens;
-        // Steps lead to the median: what others had cached or had under way there spoils single samples.
+        // Steps lead to the median: what others had cached or had under way there spoils single
+        // samples.
         double step = sample > msPerToken ? 1 + SPEED_STEP : 1 - SPEED_STEP;
         msPerToken = Math.max(LEAST_MS_PER_TOKEN, Math.min(MOST_MS_PER_TOKEN, msPerToken * step));
     }
@@ -75,7 +80,9 @@
         if (open.isEmpty()) {
             return null;
         }
-        return service.engine() == null ? pickPlain(service, open, now) : pickModel(service, prompt, open, now);
+        return service.engine() == null
+                ? pickPlain(service, open, now)
+                : pickModel(service, prompt, open, now);
     }
 
     private List<Upstream> open(Service service, Set<Upstream> tried, long now) {
@@ -102,7 +109,8 @@
     }
 
     private WeightedSchedule schedule(Service service) {
-        return schedules.computeIfAbsent(service.name(),
+        return schedules.computeIfAbsent(
+                service.name(),
                 s -> new WeightedSchedule(service.engine() == null ? PLAIN_BIAS : MODEL_BIAS));
     }
 
@@ -120,8 +128,12 @@
         double least = Double.POSITIVE_INFINITY;
         for (Upstream upstream : open) {
             upstream.refresh(now);
-            Pick pick = expectation(upstream, prompt, upstream == home ? HOME_KEPT
-                    : upstream == second ? SECOND_KEPT : 0, now);
+            Pick pick =
+                    expectation(
+                            upstream,
+                            prompt,
+                            upstream == home ? HOME_KEPT : upstream == second ? SECOND_KEPT : 0,
+                            now);
             least = Math.min(least, pick.expectedMs());
             picks.add(pick);
         }
@@ -135,11 +147,15 @@
         return picks.stream().filter(p -> p.upstream() == picked).findFirst().orElseThrow();
     }
 
-    /** The upstream at which a subject is at home, the same at every balancer that sees the same ones. */
+    /**
+     * The upstream at which a subject is at home, the same at every balancer that sees the same
+     * ones.
+     */
     private static Upstream ranked(List<Upstream> open, long subject, Upstream except) {
         Upstream best = null;
         for (Upstream upstream : open) {
-            if (upstream != except && (best == null || upstream.rank(subject) > best.rank(subject))) {
+            if (upstream != except
+                    && (best == null || upstream.rank(subject) > best.rank(subject))) {
                 best = upstream;
             }
         }
@@ -148,12 +164,20 @@
 
     private Pick expectation(Upstream upstream, PromptParts prompt, double keptByOthers, long now) {
         int total = prompt.total();
-        int shared = prompt.tokens().length == 0 ? 0 : total - prompt.tokens()[prompt.tokens().length - 1];
+        int shared =
+                prompt.tokens().length == 0
+                        ? 0
+                        : total - prompt.tokens()[prompt.tokens().length - 1];
         double kept = Math.max(upstream.memory().kept(prompt, now), keptByOthers * shared);
         double toRead = total - kept;
         double places = Math.max(0, upstream.inFlight() + 1 - upstream.capacity()) * WAITING_MS;
         double own = BASE_MS + (upstream.backlogTokens() + toRead) * msPerToken;
-        double expected = own + upstream.extraDelay(now) + places + upstream.waiting(now) * WAITING_MS;
-        return new Pick(upstream, (int) Math.round(toRead), expected / Math.max(0.1, 1 - upstream.errors()), own);
+        double expected =
+                own + upstream.extraDelay(now) + places + upstream.waiting(now) * WAITING_MS;
+        return new Pick(
+                upstream,
+                (int) Math.round(toRead),
+                expected / Math.max(0.1, 1 - upstream.errors()),
+                own);
     }
 }
--- a/src/main/java/yewyoke/dataplane/PrefixMemory.java
+++ b/src/main/java/yewyoke/dataplane/PrefixMemory.java
@@ -11,7 +11,7 @@
     private final long mostTokens;
     private long tokens;
 
-    private record Kept(int tokens, long at) { }
+    private record Kept(int tokens, long at) {}
 
     PrefixMemory(long mostTokens) {
         this.mostTokens = mostTokens;
--- a/src/main/java/yewyoke/dataplane/PromptParts.java
+++ b/src/main/java/yewyoke/dataplane/PromptParts.java
@@ -4,8 +4,9 @@
 import java.util.List;
 
 /**
- * The parts of a prompt as a request lists them, in order. {@code chain} has, for each part, a hash of it and
- * all parts before it: an upstream can use what it keeps of a part only if it keeps all before it.
+ * The parts of a prompt as a request lists them, in order. {@code chain} has, for each part, a hash
+ * of it and all parts before it: an upstream can use what it keeps of a part only if it keeps all
+ * before it.
  */
 record PromptParts(long[] chain, int[] tokens) {
     static final PromptParts NONE = new PromptParts(new long[0], new int[0]);
--- a/src/main/java/yewyoke/dataplane/Rehearsal.java
+++ b/src/main/java/yewyoke/dataplane/Rehearsal.java
@@ -27,8 +27,9 @@
 import yewyoke.rpc.OneCall;
 
 /**
- * A balancer that serves itself on the loopback for a moment, with stand-ins for the control plane and for
- * upstreams. The build runs it to learn which classes a start needs; they are kept in an archive.
+ * A balancer that serves itself on the loopback for a moment, with stand-ins for the control plane
+ * and for upstreams. The build runs it to learn which classes a start needs; they are kept in an
+ * archive.
  */
 final class Rehearsal {
     private static final long LONGEST = 10_000;
@@ -36,14 +37,21 @@
     private static final int ROUNDS = 40;
     private static final String HOST = "127.0.0.1";
     private static final byte[] NO_BYTES = {};
-    private static final String DOCUMENT = "{\"generation\":3,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
-            + "\"path_prefix\":\"/a/\",\"type\":\"streaming\",\"timeout_ms\":8000,\"backend\":\"s\","
-            + "\"retries\":2,\"resumable\":true,\"gap_aim_ms\":400},{\"name\":\"p\",\"hostname\":\"h\","
-            + "\"path_prefix\":\"/b/\",\"type\":\"non_idempotent\",\"timeout_ms\":800,\"backend\":\"p\"}],"
-            + "\"services\":[{\"name\":\"s\",\"engine\":{\"capacity\":64,\"kv_tokens\":9000,\"stride\":5}},"
-            + "{\"name\":\"p\",\"max_connections\":96}],\"limits\":{\"idle_timeout_ms\":15000},\"tenants\":[{"
-            + "\"name\":\"t\",\"api_keys\":[\"k\"],\"priority\":1,\"unit\":\"tokens\",\"rate_per_s\":1000,"
-            + "\"burst\":9.5}]}";
+    private static final String DOCUMENT =
+            "{\"generation\":3,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+                    + "\"path_prefix\":\"/a/\",\"type\":\"streaming\",\"timeout_ms\":8000,"
+                    + "\"backend\":\"s\","
+                    + "\"retries\":2,\"resumable\":true,\"gap_aim_ms\":400},{\"name\":\"p\","
+                    + "\"hostname\":\"h\","
+                    + "\"path_prefix\":\"/b/\",\"type\":\"non_idempotent\",\"timeout_ms\":800,"
+                    + "\"backend\":\"p\"}],"
+                    + "\"services\":[{\"name\":\"s\",\"engine\":{\"capacity\":64,"
+                    + "\"kv_tokens\":9000,\"stride\":5}},"
+                    + "{\"name\":\"p\",\"max_connections\":96}],"
+                    + "\"limits\":{\"idle_timeout_ms\":15000},\"tenants\":[{"
+                    + "\"name\":\"t\",\"api_keys\":[\"k\"],\"priority\":1,\"unit\":\"tokens\","
+                    + "\"rate_per_s\":1000,"
+                    + "\"burst\":9.5}]}";
 
     private final EventLoop loop = new EventLoop();
     private final CountDownLatch done = new CountDownLatch(1);
@@ -71,10 +79,25 @@
     private void begin() {
         new MessageServer(loop, HOST, control, this::control);
         new HttpServer(loop, HOST, upstream, this::upstream);
-        NodeSettings settings = new NodeSettings("n", "r", HOST, "z", "", control,
-                List.of(new Address(HOST, control)), false, 200, "", new Address(HOST, frontend),
-                new Address(HOST, readiness), null, 1, new NodeSettings.Limits(256, 1_024),
-                new NodeSettings.Bounds(2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 190_000));
+        NodeSettings settings =
+                new NodeSettings(
+                        "n",
+                        "r",
+                        HOST,
+                        "z",
+                        "",
+                        control,
+                        List.of(new Address(HOST, control)),
+                        false,
+                        200,
+                        "",
+                        new Address(HOST, frontend),
+                        new Address(HOST, readiness),
+                        null,
+                        1,
+                        new NodeSettings.Limits(256, 1_024),
+                        new NodeSettings.Bounds(
+                                2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 190_000));
         Main.beginOn(settings, freePort(), loop);
         for (int i = 1; i <= ROUNDS; i++) {
             loop.schedule(STEP + i * 20L, this::callAll);
@@ -96,8 +119,10 @@
             reply.balancers = 1;
             reply.primary = HOST + ":" + control;
             reply.members = List.of(reply.primary);
-            reply.balancerList = List.of(FleetMember.of("n", HOST + ":" + control),
-                    FleetMember.of("m", HOST + ":" + control));
+            reply.balancerList =
+                    List.of(
+                            FleetMember.of("n", HOST + ":" + control),
+                            FleetMember.of("m", HOST + ":" + control));
             reply.instances = List.of(instance("i", "s"), instance("j", "p"));
             answer.accept(reply);
         }
@@ -108,8 +133,13 @@
     }
 
     private void upstream(ServerExchange exchange) {
-        Headers headers = new Headers().add(Names.SIGNATURE, "x").add(Names.LOAD, "1,0,64")
-                .add(Names.ATTEMPT, String.valueOf(exchange.head().headers().get(Names.ATTEMPT)));
+        Headers headers =
+                new Headers()
+                        .add(Names.SIGNATURE, "x")
+                        .add(Names.LOAD, "1,0,64")
+                        .add(
+                                Names.ATTEMPT,
+                                String.valueOf(exchange.head().headers().get(Names.ATTEMPT)));
         if (exchange.head().path().startsWith("/b/")) {
             exchange.respond(200, headers, new byte[] {'o', 'k'});
             return;
@@ -126,16 +156,25 @@
         call("/a/1", "1f:800,2b:410");
         call("/b/1", null);
         call("/c/1", null);
-        OneCall.send(loop, HOST, readiness, new RequestHead("GET", "/readyz", new Headers().add("Host", "h")),
+        OneCall.send(
+                loop,
+                HOST,
+                readiness,
+                new RequestHead("GET", "/readyz", new Headers().add("Host", "h")),
                 NO_BYTES);
     }
 
     private void call(String path, String prefix) {
-        Headers headers = new Headers().add("Host", "h").add(Names.ATTEMPT, "a1b2")
-                .add(Names.DEADLINE, "5000").add(Names.AUTHORIZATION, "Token k");
+        Headers headers =
+                new Headers()
+                        .add("Host", "h")
+                        .add(Names.ATTEMPT, "a1b2")
+                        .add(Names.DEADLINE, "5000")
+                        .add(Names.AUTHORIZATION, "Token k");
         if (prefix != null) {
             headers.add(Names.PREFIX, prefix).add(Names.USAGE, "1210,80");
         }
-        OneCall.send(loop, HOST, frontend, new RequestHead("POST", path, headers), new byte[] {'x'});
+        OneCall.send(
+                loop, HOST, frontend, new RequestHead("POST", path, headers), new byte[] {'x'});
     }
 }
--- a/src/main/java/yewyoke/dataplane/RetryBudget.java
+++ b/src/main/java/yewyoke/dataplane/RetryBudget.java
@@ -4,13 +4,15 @@
 import java.util.Map;
 
 /**
- * This balancer's part of the budget for sending requests to a second upstream: a ratio of the requests for
- * the service, which adds up over all balancers by itself, and an equal part of the slack.
+ * This balancer's part of the budget for sending requests to a second upstream: a ratio of the
+ * requests for the service, which adds up over all balancers by itself, and an equal part of the
+ * slack.
  */
 final class RetryBudget {
     private static final double RATIO_USED = 0.7;
     private static final double SLACK_USED = 0.6;
-    private static final double FIRST_PART = 0.5; // of a balancer that starts: its last process used some
+    private static final double FIRST_PART =
+            0.5; // of a balancer that starts: its last process used some
 
     private final double ratio;
     private final int slack;
--- a/src/main/java/yewyoke/dataplane/Router.java
+++ b/src/main/java/yewyoke/dataplane/Router.java
@@ -36,7 +36,11 @@
     private Configuration configuration;
     private long nextPeriod;
 
-    Router(Scheduler scheduler, UpstreamLinks connections, RetryBudget budget, TenantQuotas.Bank bank,
+    Router(
+            Scheduler scheduler,
+            UpstreamLinks connections,
+            RetryBudget budget,
+            TenantQuotas.Bank bank,
             long seed) {
         this.quotas = new TenantQuotas(bank);
         this.scheduler = scheduler;
@@ -83,13 +87,15 @@
         quotas.balancers(count);
     }
 
-    // ---- Requests ------------------------------------------------------------------------------------
+    // ---- Requests
+    // ------------------------------------------------------------------------------------
 
     /** Takes a client's request. */
     void handle(ServerExchange client) {
         counters.count(Counters.Event.REQUEST);
         if (configuration == null) {
-            client.respond(503, new Headers().add(Names.RETRY_AFTER, seconds(NOT_READY_PAUSE)), NO_BYTES);
+            client.respond(
+                    503, new Headers().add(Names.RETRY_AFTER, seconds(NOT_READY_PAUSE)), NO_BYTES);
             return;
         }
         Headers headers = client.head().headers();
@@ -113,7 +119,9 @@
 
     private static String keyOf(Headers headers) {
         String value = headers.get(Names.AUTHORIZATION);
-        return value != null && value.startsWith(KEY_SCHEME) ? value.substring(KEY_SCHEME.length()).trim() : null;
+        return value != null && value.startsWith(KEY_SCHEME)
+                ? value.substring(KEY_SCHEME.length()).trim()
+                : null;
     }
 
     private void admit(ServerExchange client, Route route, Tenant tenant) {
@@ -123,15 +131,19 @@
         }
         double cost = TenantQuotas.cost(tenant, usage(client.head().headers().get(Names.USAGE)));
         quotas.time(now());
-        quotas.admit(tenant, cost, now(), wait -> {
-            if (wait == 0) {
-                exchange(client, route, tenant, cost);
-                return;
-            }
-            counters.count(Counters.Event.OVER_QUOTA);
-            String pause = seconds(Math.min(LONGEST_QUOTA_PAUSE, wait));
-            client.respond(429, new Headers().add(Names.RETRY_AFTER, pause), NO_BYTES);
-        });
+        quotas.admit(
+                tenant,
+                cost,
+                now(),
+                wait -> {
+                    if (wait == 0) {
+                        exchange(client, route, tenant, cost);
+                        return;
+                    }
+                    counters.count(Counters.Event.OVER_QUOTA);
+                    String pause = seconds(Math.min(LONGEST_QUOTA_PAUSE, wait));
+                    client.respond(429, new Headers().add(Names.RETRY_AFTER, pause), NO_BYTES);
+                });
     }
 
     /** Begins the exchange of a request that is allowed; the configuration may be newer by now. */
@@ -139,7 +151,8 @@
         if (!client.open()) {
             return;
         }
-        Route route = configuration.route(client.head().headers().get("Host"), client.head().path());
+        Route route =
+                configuration.route(client.head().headers().get("Host"), client.head().path());
         if (route == null || !admitted.name().equals(route.name())) {
             handle(client);
             return;
@@ -192,7 +205,8 @@
         return String.format(Locale.ROOT, "%.3f", ms / 1_000.0);
     }
 
-    // ---- What exchanges use --------------------------------------------------------------------------
+    // ---- What exchanges use
+    // --------------------------------------------------------------------------
 
     long now() {
         return scheduler.now();
--- a/src/main/java/yewyoke/dataplane/TenantQuotas.java
+++ b/src/main/java/yewyoke/dataplane/TenantQuotas.java
@@ -10,9 +10,9 @@
 import yewyoke.message.QuotaGrant;
 
 /**
- * The quotas as this balancer uses them. The primary grants what requests count; without an answer of it, a
- * balancer goes on with an equal part of the quota for a short time, and with a small one from then on, since
- * the others may be in touch and get the whole.
+ * The quotas as this balancer uses them. The primary grants what requests count; without an answer
+ * of it, a balancer goes on with an equal part of the quota for a short time, and with a small one
+ * from then on, since the others may be in touch and get the whole.
  */
 final class TenantQuotas {
     private static final long ANSWER = 250;
@@ -80,7 +80,10 @@
         } else if (now < askAgainAt) {
             decided.accept(fallBack(bucket, cost, now));
         } else {
-            bank.ask(QuotaAsk.of(tenant.name(), cost), ANSWER, answer -> answered(bucket, cost, answer, decided));
+            bank.ask(
+                    QuotaAsk.of(tenant.name(), cost),
+                    ANSWER,
+                    answer -> answered(bucket, cost, answer, decided));
         }
     }
 
--- a/src/main/java/yewyoke/dataplane/Upstream.java
+++ b/src/main/java/yewyoke/dataplane/Upstream.java
@@ -6,7 +6,9 @@
 import yewyoke.configuration.Service;
 import yewyoke.message.InstanceRecord;
 
-/** An incarnation of an upstream as this balancer sees it: what is under way there and how it does. */
+/**
+ * An incarnation of an upstream as this balancer sees it: what is under way there and how it does.
+ */
 final class Upstream extends WeightedSchedule.Candidate {
     private static final long REPORT_FRESH = 3_000;
     private static final long FIRST_EJECTION = 700;
@@ -74,7 +76,8 @@
         return Hashes.mix(hash ^ subject);
     }
 
-    // ---- What is under way ---------------------------------------------------------------------------
+    // ---- What is under way
+    // ---------------------------------------------------------------------------
 
     void begins(Attempt attempt, long now) {
         if (attempts.isEmpty()) {
@@ -105,7 +108,8 @@
         inFlightNow = own() + others(now);
     }
 
-    @Override public double inFlight() {
+    @Override
+    public double inFlight() {
         return inFlightNow;
     }
 
@@ -118,7 +122,8 @@
         return sum;
     }
 
-    // ---- What is observed ----------------------------------------------------------------------------
+    // ---- What is observed
+    // ----------------------------------------------------------------------------
 
     /** The load that the upstream told in an answer: running, waiting, slots. */
     void reported(String load, long now) {
@@ -196,7 +201,10 @@
         return now - reportedAt > REPORT_FRESH ? 0 : reportedWaiting;
     }
 
-    /** Derives the utilisation from reports, own requests, timings and errors; NaN without any of them. */
+    /**
+     * Derives the utilisation from reports, own requests, timings and errors; NaN without any of
+     * them.
+     */
     void derive(long now, double msPerToken) {
         refresh(now);
         boolean fresh = now - reportedAt <= REPORT_FRESH || own() > 0;
@@ -205,7 +213,8 @@
             return;
         }
         double places = Math.min(1, inFlight() / capacity());
-        double backlog = Math.min(1, (backlogTokens() * msPerToken + extraDelay(now)) / BACKLOG_FULL_MS);
+        double backlog =
+                Math.min(1, (backlogTokens() * msPerToken + extraDelay(now)) / BACKLOG_FULL_MS);
         utilisation = Math.min(1, Math.max(places, backlog) + errors);
     }
 }
--- a/src/main/java/yewyoke/dataplane/UpstreamDirectory.java
+++ b/src/main/java/yewyoke/dataplane/UpstreamDirectory.java
@@ -14,7 +14,9 @@
 import yewyoke.message.InstanceRecord;
 import yewyoke.message.InstanceRecord.Stage;
 
-/** The upstreams that this balancer knows, by service. One that drains or is gone never comes back. */
+/**
+ * The upstreams that this balancer knows, by service. One that drains or is gone never comes back.
+ */
 final class UpstreamDirectory {
     private static final int MOST_ENDED = 5_000;
 
@@ -31,11 +33,13 @@
 
     void use(Configuration next) {
         configuration = next;
-        byId.values().forEach(u -> {
-            if (!u.hasEngine()) {
-                u.engine(engineOf(u.record()));
-            }
-        });
+        byId.values()
+                .forEach(
+                        u -> {
+                            if (!u.hasEngine()) {
+                                u.engine(engineOf(u.record()));
+                            }
+                        });
     }
 
     private Service.Engine engineOf(InstanceRecord record) {
@@ -76,7 +80,8 @@
             Upstream created = new Upstream(record);
             created.engine(engineOf(record));
             byId.put(record.id, created);
-        } else if (known.record().sequence <= record.sequence || known.record().stage != record.stage) {
+        } else if (known.record().sequence <= record.sequence
+                || known.record().stage != record.stage) {
             known.update(record);
         }
     }
@@ -103,17 +108,22 @@
         }
     }
 
-    /** Upstreams whose heartbeats stay out get nothing, unless that would leave less than half of a service. */
+    /**
+     * Upstreams whose heartbeats stay out get nothing, unless that would leave less than half of a
+     * service.
+     */
     private void index() {
         readyByService.clear();
         Map<String, List<Upstream>> all = new HashMap<>();
         for (Upstream upstream : byId.values()) {
             all.computeIfAbsent(upstream.record().service, s -> new ArrayList<>()).add(upstream);
         }
-        all.forEach((service, upstreams) -> {
-            List<Upstream> ready = upstreams.stream().filter(Upstream::ready).toList();
-            readyByService.put(service, 2 * ready.size() < upstreams.size() ? upstreams : ready);
-        });
+        all.forEach(
+                (service, upstreams) -> {
+                    List<Upstream> ready = upstreams.stream().filter(Upstream::ready).toList();
+                    readyByService.put(
+                            service, 2 * ready.size() < upstreams.size() ? upstreams : ready);
+                });
     }
 
     /** The upstreams of a service that take requests. */
--- a/src/main/java/yewyoke/dataplane/UpstreamLinks.java
+++ b/src/main/java/yewyoke/dataplane/UpstreamLinks.java
@@ -5,7 +5,10 @@
 
 /** Connections to upstreams, each used by one request at a time. */
 interface UpstreamLinks {
-    /** Finds or opens a connection; with {@code onlyFresh} one at rest has to have been used a moment ago. */
+    /**
+     * Finds or opens a connection; with {@code onlyFresh} one at rest has to have been used a
+     * moment ago.
+     */
     Link use(Upstream upstream, User user, boolean onlyFresh);
 
     /** Connections that stand or are being opened. */
--- a/src/main/java/yewyoke/io/EventLoop.java
+++ b/src/main/java/yewyoke/io/EventLoop.java
@@ -17,12 +17,13 @@
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /**
- * The one thread of a process on which sockets, timers and handed-in tasks run. Timers run between two
- * selections, so that they cost no thread and no wake-up of their own.
+ * The one thread of a process on which sockets, timers and handed-in tasks run. Timers run between
+ * two selections, so that they cost no thread and no wake-up of their own.
  */
 public final class EventLoop implements Scheduler {
     private static final Logger LOG = LogManager.getLogger(EventLoop.class);
-    // Peers that break the protocol are counted and closed here; the library would log a trace for each.
+    // Peers that break the protocol are counted and closed here; the library would log a trace for
+    // each.
     private static final java.util.logging.Logger LIBRARY =
             java.util.logging.Logger.getLogger("org.glassfish.grizzly");
     private static final long LONGEST_SELECT = 10_000;
@@ -43,7 +44,10 @@
         builder.setSelectorHandler(new TimedSelectorHandler());
         builder.setMemoryManager(new HeapMemoryManager(0));
         builder.setSelectorThreadPoolConfig(
-                ThreadPoolConfig.defaultConfig().setCorePoolSize(1).setMaxPoolSize(1).setPoolName("loop"));
+                ThreadPoolConfig.defaultConfig()
+                        .setCorePoolSize(1)
+                        .setMaxPoolSize(1)
+                        .setPoolName("loop"));
         builder.setTcpNoDelay(true);
         builder.setReuseAddress(true);
         builder.setServerConnectionBackLog(BACKLOG);
@@ -58,7 +62,8 @@
         try {
             transport.start();
         } catch (IOException e) {
-            throw new IoException(ResultCode.NO_SOCKET, "the transport can't start: " + e.getMessage(), e);
+            throw new IoException(
+                    ResultCode.NO_SOCKET, "the transport can't start: " + e.getMessage(), e);
         }
     }
 
@@ -71,11 +76,13 @@
         }
     }
 
-    @Override public long now() {
+    @Override
+    public long now() {
         return System.nanoTime() / 1_000_000;
     }
 
-    @Override public Timer schedule(long delay, Runnable task) {
+    @Override
+    public Timer schedule(long delay, Runnable task) {
         return timers.add(now() + Math.max(0, delay), task);
     }
 
@@ -95,8 +102,10 @@
     /** Listens at an address with a chain of filters. */
     void bind(String host, int port, FilterChain chain) {
         try {
-            org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler.builder(transport).processor(chain)
-                    .build().bind(new java.net.InetSocketAddress(host, port), BACKLOG);
+            org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler.builder(transport)
+                    .processor(chain)
+                    .build()
+                    .bind(new java.net.InetSocketAddress(host, port), BACKLOG);
         } catch (IOException e) {
             throw new IoException(ResultCode.NO_SOCKET, "can't listen at " + host + ":" + port, e);
         }
@@ -126,17 +135,21 @@
             super(LONGEST_SELECT, TimeUnit.MILLISECONDS);
         }
 
-        @Override public boolean preSelect(SelectorRunner selectorRunner) throws IOException {
+        @Override
+        public boolean preSelect(SelectorRunner selectorRunner) throws IOException {
             runner = selectorRunner;
             runDue();
             return super.preSelect(selectorRunner);
         }
 
-        @Override public Set<SelectionKey> select(SelectorRunner selectorRunner) throws IOException {
+        @Override
+        public Set<SelectionKey> select(SelectorRunner selectorRunner) throws IOException {
             long due = timers.nextDue();
-            long wait = due == Long.MAX_VALUE ? LONGEST_SELECT : Math.min(LONGEST_SELECT, due - now());
-            boolean pending = selectorRunner.getPostponedTasks() != null
-                    && !selectorRunner.getPostponedTasks().isEmpty();
+            long wait =
+                    due == Long.MAX_VALUE ? LONGEST_SELECT : Math.min(LONGEST_SELECT, due - now());
+            boolean pending =
+                    selectorRunner.getPostponedTasks() != null
+                            && !selectorRunner.getPostponedTasks().isEmpty();
             if (pending || wait <= 0 || !tasks.isEmpty()) {
                 selectorRunner.getSelector().selectNow();
             } else {
--- a/src/main/java/yewyoke/io/HttpConnection.java
+++ b/src/main/java/yewyoke/io/HttpConnection.java
@@ -25,10 +25,20 @@
 public final class HttpConnection {
     private static final Attribute<HttpConnection> STATE =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("yewyoke.client");
-    private static final FilterChain CHAIN = FilterChainBuilder.stateless().add(new TransportFilter())
-            .add(new HttpClientFilter(64 * 1_024)).add(new AnswerFilter()).build();
-
-    private enum State { CONNECTING, IDLE, AWAITING_HEAD, READING_BODY, CLOSED }
+    private static final FilterChain CHAIN =
+            FilterChainBuilder.stateless()
+                    .add(new TransportFilter())
+                    .add(new HttpClientFilter(64 * 1_024))
+                    .add(new AnswerFilter())
+                    .build();
+
+    private enum State {
+        CONNECTING,
+        IDLE,
+        AWAITING_HEAD,
+        READING_BODY,
+        CLOSED
+    }
 
     /** What happens to a connection and its request. Each call comes on the loop. */
     public interface Listener {
@@ -62,17 +72,21 @@
     @SuppressWarnings("rawtypes") // the library's connector names no type
     public static HttpConnection connect(EventLoop loop, String host, int port, Listener listener) {
         HttpConnection created = new HttpConnection(listener);
-        TCPNIOConnectorHandler connector = TCPNIOConnectorHandler.builder(loop.transport())
-                .processor(CHAIN).build();
-        connector.connect(new InetSocketAddress(host, port), new EmptyCompletionHandler<>() {
-            @Override public void completed(Connection opened) {
-                loop.execute(() -> created.opened(opened));
-            }
-
-            @Override public void failed(Throwable error) {
-                loop.execute(created::failedToOpen);
-            }
-        });
+        TCPNIOConnectorHandler connector =
+                TCPNIOConnectorHandler.builder(loop.transport()).processor(CHAIN).build();
+        connector.connect(
+                new InetSocketAddress(host, port),
+                new EmptyCompletionHandler<>() {
+                    @Override
+                    public void completed(Connection opened) {
+                        loop.execute(() -> created.opened(opened));
+                    }
+
+                    @Override
+                    public void failed(Throwable error) {
+                        loop.execute(created::failedToOpen);
+                    }
+                });
         return created;
     }
 
@@ -117,19 +131,22 @@
     /** Sends a request with its whole body. */
     public void send(RequestHead head, byte[] body) {
         if (!ready()) {
-            throw new IoException(ResultCode.PEER_FAILED, "the connection takes no request now", null);
+            throw new IoException(
+                    ResultCode.PEER_FAILED, "the connection takes no request now", null);
         }
         HttpRequestPacket.Builder builder = HttpRequestPacket.builder();
         builder.method(head.method()).uri(head.target()).protocol(Protocol.HTTP_1_1);
-        head.headers().forEach((name, value) -> {
-            if (name.equalsIgnoreCase("Host")) {
-                builder.host(value);
-            } else if (name.equalsIgnoreCase("Content-Type")) {
-                builder.contentType(value);
-            } else {
-                builder.header(name, value);
-            }
-        });
+        head.headers()
+                .forEach(
+                        (name, value) -> {
+                            if (name.equalsIgnoreCase("Host")) {
+                                builder.host(value);
+                            } else if (name.equalsIgnoreCase("Content-Type")) {
+                                builder.contentType(value);
+                            } else {
+                                builder.header(name, value);
+                            }
+                        });
         boolean hasBody = body.length > 0 || !head.method().equals("GET");
         if (hasBody) {
             builder.contentLength(body.length);
@@ -202,7 +219,8 @@
 
     /** Hands the pieces of answers to their connection. */
     private static final class AnswerFilter extends BaseFilter {
-        @Override public NextAction handleRead(FilterChainContext ctx) throws IOException {
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) throws IOException {
             HttpContent content = ctx.getMessage();
             HttpConnection state = STATE.get(ctx.getConnection());
             if (state == null) {
@@ -213,7 +231,8 @@
             return ctx.getStopAction();
         }
 
-        @Override public NextAction handleClose(FilterChainContext ctx) throws IOException {
+        @Override
+        public NextAction handleClose(FilterChainContext ctx) throws IOException {
             HttpConnection state = STATE.get(ctx.getConnection());
             if (state != null) {
                 state.hasClosed();
@@ -221,7 +240,8 @@
             return ctx.getInvokeAction();
         }
 
-        @Override public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
+        @Override
+        public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
             HttpConnection state = STATE.get(ctx.getConnection());
             if (state != null) {
                 state.drop();
--- a/src/main/java/yewyoke/io/HttpExchange.java
+++ b/src/main/java/yewyoke/io/HttpExchange.java
@@ -16,7 +16,11 @@
 final class HttpExchange implements ServerExchange {
     static final byte[] NO_BYTES = {};
 
-    private enum State { UNANSWERED, STREAMING, ENDED }
+    private enum State {
+        UNANSWERED,
+        STREAMING,
+        ENDED
+    }
 
     private final ServerConnection owner;
     private final HttpRequestPacket request;
@@ -36,8 +40,11 @@
         String query = request.getQueryString();
         String path = request.getRequestURI();
         Headers headers = Headers.copyOf(request.getHeaders());
-        this.head = new RequestHead(request.getMethod().getMethodString(),
-                query == null || query.isEmpty() ? path : path + "?" + query, headers);
+        this.head =
+                new RequestHead(
+                        request.getMethod().getMethodString(),
+                        query == null || query.isEmpty() ? path : path + "?" + query,
+                        headers);
         String connection = headers.get("Connection");
         this.keepAlive = connection == null || !connection.equalsIgnoreCase("close");
     }
@@ -54,32 +61,43 @@
         return version && method && head.target().startsWith("/");
     }
 
-    @Override public RequestHead head() {
+    @Override
+    public RequestHead head() {
         return head;
     }
 
-    @Override public byte[] body() {
+    @Override
+    public byte[] body() {
         return body;
     }
 
-    @Override public String caller() {
+    @Override
+    public String caller() {
         return String.valueOf(owner.connection().getPeerAddress());
     }
 
-    @Override public void respond(int status, Headers headers, byte[] answer) {
+    @Override
+    public void respond(int status, Headers headers, byte[] answer) {
         if (state != State.UNANSWERED) {
             return;
         }
         boolean keep = keeps() && headers.get("Connection") == null;
         headers.remove("Connection");
-        HttpResponsePacket.Builder builder = builder(status, headers, keep).contentLength(answer.length);
+        HttpResponsePacket.Builder builder =
+                builder(status, headers, keep).contentLength(answer.length);
         response = builder.build();
         become(State.ENDED);
-        write(HttpContent.builder(response).content(wrap(answer, 0, answer.length)).last(true).build(), !keep);
+        write(
+                HttpContent.builder(response)
+                        .content(wrap(answer, 0, answer.length))
+                        .last(true)
+                        .build(),
+                !keep);
         owner.answered(this, keep);
     }
 
-    @Override public void begin(int status, Headers headers) {
+    @Override
+    public void begin(int status, Headers headers) {
         if (state != State.UNANSWERED) {
             return;
         }
@@ -87,23 +105,30 @@
         become(State.STREAMING);
     }
 
-    @Override public void write(byte[] bytes, int offset, int length) {
+    @Override
+    public void write(byte[] bytes, int offset, int length) {
         if (state == State.STREAMING && length > 0) {
-            write(HttpContent.builder(response).content(wrap(bytes, offset, length)).build(), false);
+            write(
+                    HttpContent.builder(response).content(wrap(bytes, offset, length)).build(),
+                    false);
         }
     }
 
-    @Override public void end() {
+    @Override
+    public void end() {
         if (state != State.STREAMING) {
             return;
         }
         become(State.ENDED);
         boolean keep = !"close".equalsIgnoreCase(response.getHeader("Connection"));
-        write(HttpContent.builder(response).content(wrap(NO_BYTES, 0, 0)).last(true).build(), !keep);
+        write(
+                HttpContent.builder(response).content(wrap(NO_BYTES, 0, 0)).last(true).build(),
+                !keep);
         owner.answered(this, keep);
     }
 
-    @Override public void abort() {
+    @Override
+    public void abort() {
         if (state != State.ENDED) {
             become(State.ENDED);
             owner.connection().terminateSilently();
@@ -111,11 +136,13 @@
         }
     }
 
-    @Override public boolean open() {
+    @Override
+    public boolean open() {
         return owner.connection().isOpen();
     }
 
-    @Override public void onGone(Runnable task) {
+    @Override
+    public void onGone(Runnable task) {
         onGone = task;
     }
 
@@ -139,13 +166,14 @@
     private HttpResponsePacket.Builder builder(int status, Headers headers, boolean keep) {
         HttpResponsePacket.Builder builder = HttpResponsePacket.builder(request);
         builder.status(status).reasonPhrase(HttpStatus.getHttpStatus(status).getReasonPhrase());
-        headers.forEach((name, value) -> {
-            if (name.equalsIgnoreCase("Content-Type")) {
-                builder.contentType(value);
-            } else {
-                builder.header(name, value);
-            }
-        });
+        headers.forEach(
+                (name, value) -> {
+                    if (name.equalsIgnoreCase("Content-Type")) {
+                        builder.contentType(value);
+                    } else {
+                        builder.header(name, value);
+                    }
+                });
         if (!keep) {
             builder.header("Connection", "close");
         } else if (owner.server().keepAlive() != null) {
@@ -167,10 +195,13 @@
     }
 
     private static <L> void writeAndClose(Connection<L> connection, HttpPacket packet) {
-        connection.write(packet, new EmptyCompletionHandler<WriteResult<HttpPacket, L>>() {
-            @Override public void completed(WriteResult<HttpPacket, L> result) {
-                connection.closeSilently();
-            }
-        });
+        connection.write(
+                packet,
+                new EmptyCompletionHandler<WriteResult<HttpPacket, L>>() {
+                    @Override
+                    public void completed(WriteResult<HttpPacket, L> result) {
+                        connection.closeSilently();
+                    }
+                });
     }
 }
--- a/src/main/java/yewyoke/io/HttpServer.java
+++ b/src/main/java/yewyoke/io/HttpServer.java
@@ -19,7 +19,9 @@
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
 
-/** An HTTP/1.1 server at one address; each whole request is handed on as a {@link ServerExchange}. */
+/**
+ * An HTTP/1.1 server at one address; each whole request is handed on as a {@link ServerExchange}.
+ */
 public final class HttpServer {
     private static final int MOST_HEADER_BYTES = 64 * 1_024;
     private static final int MOST_HEADERS = 100;
@@ -34,18 +36,27 @@
     private String keepAlive;
 
     /** Listens at an address. */
-    @SuppressWarnings("deprecation") // the library offers no other constructor that takes the bounds
+    @SuppressWarnings(
+            "deprecation") // the library offers no other constructor that takes the bounds
     public HttpServer(EventLoop loop, String host, int port, Consumer<ServerExchange> handler) {
         this.loop = loop;
         this.handler = handler;
         KeepAlive forever = new KeepAlive();
         forever.setIdleTimeoutInSeconds(-1);
         forever.setMaxRequestsCount(-1);
-        HttpServerFilter codec = new HttpServerFilter(true, MOST_HEADER_BYTES, null, forever, null,
-                MOST_HEADERS, MOST_HEADERS);
+        HttpServerFilter codec =
+                new HttpServerFilter(
+                        true, MOST_HEADER_BYTES, null, forever, null, MOST_HEADERS, MOST_HEADERS);
         codec.setAllowPayloadForUndefinedHttpMethods(true);
-        loop.bind(host, port, FilterChainBuilder.stateless().add(new TransportFilter())
-                .add(new ArrivalFilter()).add(codec).add(new RequestFilter()).build());
+        loop.bind(
+                host,
+                port,
+                FilterChainBuilder.stateless()
+                        .add(new TransportFilter())
+                        .add(new ArrivalFilter())
+                        .add(codec)
+                        .add(new RequestFilter())
+                        .build());
     }
 
     /** Bounds the body of a request; a larger one is answered with 413. */
@@ -123,7 +134,8 @@
 
     /** Notes that bytes have come, before anything is made of them. */
     private final class ArrivalFilter extends BaseFilter {
-        @Override public NextAction handleRead(FilterChainContext ctx) throws IOException {
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) throws IOException {
             stateOf(ctx.getConnection()).arrived();
             return ctx.getInvokeAction();
         }
@@ -131,12 +143,14 @@
 
     /** Collects the pieces of a request and follows the connection's life. */
     private final class RequestFilter extends BaseFilter {
-        @Override public NextAction handleAccept(FilterChainContext ctx) throws IOException {
+        @Override
+        public NextAction handleAccept(FilterChainContext ctx) throws IOException {
             stateOf(ctx.getConnection());
             return ctx.getInvokeAction();
         }
 
-        @Override public NextAction handleRead(FilterChainContext ctx) throws IOException {
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) throws IOException {
             HttpContent content = ctx.getMessage();
             ServerConnection state = stateOf(ctx.getConnection());
             HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
@@ -144,12 +158,14 @@
             return ctx.getStopAction();
         }
 
-        @Override public NextAction handleClose(FilterChainContext ctx) throws IOException {
+        @Override
+        public NextAction handleClose(FilterChainContext ctx) throws IOException {
             stateOf(ctx.getConnection()).closed();
             return ctx.getInvokeAction();
         }
 
-        @Override public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
+        @Override
+        public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
             ctx.getConnection().terminateSilently();
         }
     }
--- a/src/main/java/yewyoke/io/Scheduler.java
+++ b/src/main/java/yewyoke/io/Scheduler.java
@@ -1,6 +1,8 @@
 package yewyoke.io;
 
-/** A steady clock and timers whose tasks run one at a time, on the thread that runs everything else. */
+/**
+ * A steady clock and timers whose tasks run one at a time, on the thread that runs everything else.
+ */
 public interface Scheduler {
     /** Milliseconds of a clock that only advances. */
     long now();
--- a/src/main/java/yewyoke/io/ServerConnection.java
+++ b/src/main/java/yewyoke/io/ServerConnection.java
@@ -6,7 +6,10 @@
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 
-/** A client's connection: the request being read, the one being answered, and those that wait behind it. */
+/**
+ * A client's connection: the request being read, the one being answered, and those that wait behind
+ * it.
+ */
 final class ServerConnection {
     private static final int MOST_WAITING = 16;
     private static final long NOT_RECEIVING = Long.MAX_VALUE;
--- a/src/main/java/yewyoke/io/TimerQueue.java
+++ b/src/main/java/yewyoke/io/TimerQueue.java
@@ -5,8 +5,9 @@
 
 /** Timers ordered by their due time, then by the order in which they were set. */
 public final class TimerQueue {
-    private final PriorityQueue<Entry> entries = new PriorityQueue<>(
-            Comparator.<Entry>comparingLong(e -> e.due).thenComparingLong(e -> e.number));
+    private final PriorityQueue<Entry> entries =
+            new PriorityQueue<>(
+                    Comparator.<Entry>comparingLong(e -> e.due).thenComparingLong(e -> e.number));
     private long number;
 
     private static final class Entry implements Scheduler.Timer {
@@ -20,7 +21,8 @@
             this.task = task;
         }
 
-        @Override public void cancel() {
+        @Override
+        public void cancel() {
             task = null;
         }
     }
--- a/src/main/java/yewyoke/membership/MembershipAgent.java
+++ b/src/main/java/yewyoke/membership/MembershipAgent.java
@@ -10,8 +10,9 @@
 import yewyoke.replication.Peers;
 
 /**
- * Sends this process' heartbeats to its monitors and remembers those that it monitors. What it hears goes to
- * the primary with the next poll, so that a process cut off from the control plane still counts.
+ * Sends this process' heartbeats to its monitors and remembers those that it monitors. What it
+ * hears goes to the primary with the next poll, so that a process cut off from the control plane
+ * still counts.
  */
 public final class MembershipAgent {
     private static final int MONITORS = 2;
@@ -36,7 +37,7 @@
     public void start() {
         scheduler.schedule(HEARTBEAT, this::start);
         for (FleetMember monitor : ring.monitorsOf(name, MONITORS)) {
-            peers.call(monitor.address, Alive.of(name), ANSWER, answer -> { });
+            peers.call(monitor.address, Alive.of(name), ANSWER, answer -> {});
         }
     }
 
@@ -55,11 +56,12 @@
     public List<String> alive() {
         long now = scheduler.now();
         List<String> names = new ArrayList<>();
-        heardAt.forEach((member, at) -> {
-            if (now - at <= ALIVE) {
-                names.add(member);
-            }
-        });
+        heardAt.forEach(
+                (member, at) -> {
+                    if (now - at <= ALIVE) {
+                        names.add(member);
+                    }
+                });
         return names;
     }
 }
--- a/src/main/java/yewyoke/membership/Ring.java
+++ b/src/main/java/yewyoke/membership/Ring.java
@@ -15,7 +15,9 @@
     /** Creates a ring of the given processes. */
     public Ring(Collection<FleetMember> members) {
         order = new ArrayList<>(members);
-        order.sort(Comparator.<FleetMember>comparingLong(m -> position(m.name)).thenComparing(m -> m.name));
+        order.sort(
+                Comparator.<FleetMember>comparingLong(m -> position(m.name))
+                        .thenComparing(m -> m.name));
     }
 
     static long position(String name) {
@@ -24,7 +26,10 @@
         return crc.getValue();
     }
 
-    /** The processes that watch one: those that follow it, as many as asked for if there are so many. */
+    /**
+     * The processes that watch one: those that follow it, as many as asked for if there are so
+     * many.
+     */
     public List<FleetMember> monitorsOf(String name, int count) {
         List<FleetMember> monitors = new ArrayList<>();
         int at = 0;
--- a/src/main/java/yewyoke/message/Acknowledge.java
+++ b/src/main/java/yewyoke/message/Acknowledge.java
@@ -4,8 +4,10 @@
 public final class Acknowledge implements Message {
     /** Whether it was taken. */
     public boolean taken;
+
     /** The highest epoch promised. */
     public long promised;
+
     /** Who answers. */
     public Member member;
 
--- a/src/main/java/yewyoke/message/FleetMember.java
+++ b/src/main/java/yewyoke/message/FleetMember.java
@@ -4,6 +4,7 @@
 public final class FleetMember {
     /** Its name. */
     public String name = "";
+
     /** Host and port of the internal protocol. */
     public String address = "";
 
--- a/src/main/java/yewyoke/message/Install.java
+++ b/src/main/java/yewyoke/message/Install.java
@@ -4,6 +4,7 @@
 public final class Install implements Message {
     /** The epoch. */
     public long epoch;
+
     /** The state. */
     public Snapshot snapshot;
 
--- a/src/main/java/yewyoke/message/InstanceRecord.java
+++ b/src/main/java/yewyoke/message/InstanceRecord.java
@@ -2,29 +2,51 @@
 
 /** An incarnation of an upstream as its heartbeats tell it; instances are not changed once made. */
 public final class InstanceRecord {
-    /** What an instance does; it is lost while its heartbeats stay out, and never comes back from the others. */
-    public enum Stage { READY, LOST, DRAINING, GONE }
+    /**
+     * What an instance does; it is lost while its heartbeats stay out, and never comes back from
+     * the others.
+     */
+    public enum Stage {
+        READY,
+        LOST,
+        DRAINING,
+        GONE
+    }
 
     /** The incarnation's id. */
     public String id = "";
+
     /** The service that it belongs to. */
     public String service = "";
+
     /** Host and port. */
     public String address = "";
+
     /** Its zone. */
     public String zone = "";
+
     /** Requests that it works on at once. */
     public int capacity;
+
     /** The version of its software. */
     public String version = "";
+
     /** What it does. */
     public Stage stage = Stage.READY;
+
     /** The number of the heartbeat that told this. */
     public long sequence;
 
     /** Creates a record from its parts. */
-    public static InstanceRecord of(String id, String service, String address, String zone, int capacity,
-            String version, Stage stage, long sequence) {
+    public static InstanceRecord of(
+            String id,
+            String service,
+            String address,
+            String zone,
+            int capacity,
+            String version,
+            Stage stage,
+            long sequence) {
         InstanceRecord made = new InstanceRecord();
         made.id = id;
         made.service = service;
@@ -44,8 +66,11 @@
 
     /** Whether this tells something else than another record, its number apart. */
     public boolean differsFrom(InstanceRecord other) {
-        return other == null || stage != other.stage || capacity != other.capacity
-                || !address.equals(other.address) || !service.equals(other.service);
+        return other == null
+                || stage != other.stage
+                || capacity != other.capacity
+                || !address.equals(other.address)
+                || !service.equals(other.service);
     }
 
     /** Whether the instance leaves or has left. */
--- a/src/main/java/yewyoke/message/Member.java
+++ b/src/main/java/yewyoke/message/Member.java
@@ -1,14 +1,16 @@
 package yewyoke.message;
 
 /**
- * A control node: where it is reached by the fleet and by callers from outside, and the identity of its
- * store. A node that loses its disk comes back with another store, and so as another member.
+ * A control node: where it is reached by the fleet and by callers from outside, and the identity of
+ * its store. A node that loses its disk comes back with another store, and so as another member.
  */
 public final class Member {
     /** Host and port of the internal protocol. */
     public String address = "";
+
     /** Host and port of the control interface. */
     public String control = "";
+
     /** Identity of the store. */
     public String store = "";
 
@@ -21,15 +23,18 @@
         return member;
     }
 
-    @Override public boolean equals(Object other) {
+    @Override
+    public boolean equals(Object other) {
         return other instanceof Member member && member.store.equals(store);
     }
 
-    @Override public int hashCode() {
+    @Override
+    public int hashCode() {
         return store.hashCode();
     }
 
-    @Override public String toString() {
+    @Override
+    public String toString() {
         return address + "/" + store;
     }
 }
--- a/src/main/java/yewyoke/message/Message.java
+++ b/src/main/java/yewyoke/message/Message.java
@@ -1,4 +1,4 @@
 package yewyoke.message;
 
 /** A message of the protocol that the fleet's processes speak among themselves. */
-public interface Message { }
+public interface Message {}
--- a/src/main/java/yewyoke/message/MessageCodec.java
+++ b/src/main/java/yewyoke/message/MessageCodec.java
@@ -10,13 +10,28 @@
 
 /** Messages as bytes: one byte for the type, then the fields as Protostuff. */
 public final class MessageCodec {
-    private static final List<Class<? extends Message>> TYPES = List.of(StoredState.class, Prepare.class,
-            Promise.class, Install.class, Accept.class, Replicate.class, Heartbeat.class, Resign.class,
-            Acknowledge.class, Join.class, JoinReply.class, ShareInstances.class, Poll.class, PollReply.class,
-            QuotaAsk.class, QuotaGrant.class, Alive.class);
+    private static final List<Class<? extends Message>> TYPES =
+            List.of(
+                    StoredState.class,
+                    Prepare.class,
+                    Promise.class,
+                    Install.class,
+                    Accept.class,
+                    Replicate.class,
+                    Heartbeat.class,
+                    Resign.class,
+                    Acknowledge.class,
+                    Join.class,
+                    JoinReply.class,
+                    ShareInstances.class,
+                    Poll.class,
+                    PollReply.class,
+                    QuotaAsk.class,
+                    QuotaGrant.class,
+                    Alive.class);
     private static final int BUFFER = 1_024;
 
-    private MessageCodec() { }
+    private MessageCodec() {}
 
     /** A message as bytes. */
     public static byte[] encode(Message message) {
@@ -42,7 +57,8 @@
         try {
             return parse(TYPES.get(bytes[0]), bytes);
         } catch (RuntimeException e) {
-            throw new IoException(ResultCode.BAD_MESSAGE, "fields can't be read: " + e.getMessage(), e);
+            throw new IoException(
+                    ResultCode.BAD_MESSAGE, "fields can't be read: " + e.getMessage(), e);
         }
     }
 
--- a/src/main/java/yewyoke/message/Poll.java
+++ b/src/main/java/yewyoke/message/Poll.java
@@ -7,24 +7,34 @@
 public final class Poll implements Message {
     /** The balancer's incarnation. */
     public String balancer = "";
+
     /** Host and port at which others of the fleet reach it. */
     public String address = "";
+
     /** Balancers that it monitors and hears. */
     public List<String> alive = new ArrayList<>();
+
     /** The revision of the list of balancers that it has, within the epoch. */
     public long memberRevision;
+
     /** Whether it is about to end. */
     public boolean leaving;
+
     /** The epoch of the last answer, 0 before the first. */
     public long epoch;
+
     /** The number of the configuration in force, 0 for none. */
     public long generation;
+
     /** The revision of the upstreams, within the epoch. */
     public long revision;
+
     /** Whether the balancer has had a complete list within the epoch. */
     public boolean complete;
+
     /** How many balancers there are as far as it knows. */
     public int balancers;
+
     /** Whether news are wanted at once, even if there are none. */
     public boolean immediate;
 }
--- a/src/main/java/yewyoke/message/PollReply.java
+++ b/src/main/java/yewyoke/message/PollReply.java
@@ -5,30 +5,45 @@
 
 /** The answer to a {@link Poll}. */
 public final class PollReply implements Message {
-    /** Whether the answering node is primary; if not, only {@code members} and {@code primary} are told. */
+    /**
+     * Whether the answering node is primary; if not, only {@code members} and {@code primary} are
+     * told.
+     */
     public boolean valid;
+
     /** The primary's address, empty if unknown. */
     public String primary = "";
+
     /** Addresses of all control nodes. */
     public List<String> members = new ArrayList<>();
+
     /** The epoch. */
     public long epoch;
+
     /** The number of the configuration. */
     public long generation;
+
     /** The document, compressed; empty if the balancer has it. */
     public byte[] document = {};
+
     /** The revision of the upstreams. */
     public long revision;
+
     /** Whether {@code instances} are all rather than changes. */
     public boolean whole;
+
     /** Whether upstreams that are not known to this node can be taken for gone. */
     public boolean complete;
+
     /** Upstreams, all or those that changed. */
     public List<InstanceRecord> instances = new ArrayList<>();
+
     /** The revision of the list of balancers. */
     public long memberRevision;
+
     /** The balancers, empty if the asking one has them. */
     public List<FleetMember> balancerList = new ArrayList<>();
+
     /** How many balancers there are. */
     public int balancers;
 }
--- a/src/main/java/yewyoke/message/Prepare.java
+++ b/src/main/java/yewyoke/message/Prepare.java
@@ -4,8 +4,10 @@
 public final class Prepare implements Message {
     /** The epoch asked for. */
     public long epoch;
+
     /** The candidate. */
     public Member candidate;
+
     /** Asks only whether a primary is heard of; nothing is promised. */
     public boolean trial;
 
--- a/src/main/java/yewyoke/message/Promise.java
+++ b/src/main/java/yewyoke/message/Promise.java
@@ -7,12 +7,16 @@
 public final class Promise implements Message {
     /** Whether the promise is given. */
     public boolean granted;
+
     /** The highest epoch promised so far. */
     public long promised;
+
     /** Who answers. */
     public Member member;
+
     /** The last view accepted, null if none. */
     public View accepted;
+
     /** The upstreams that the member has heard of. */
     public List<InstanceRecord> instances = new ArrayList<>();
 }
--- a/src/main/java/yewyoke/message/QuotaAsk.java
+++ b/src/main/java/yewyoke/message/QuotaAsk.java
@@ -4,6 +4,7 @@
 public final class QuotaAsk implements Message {
     /** The tenant. */
     public String tenant = "";
+
     /** Units that a request counts. */
     public double units;
 
--- a/src/main/java/yewyoke/message/QuotaGrant.java
+++ b/src/main/java/yewyoke/message/QuotaGrant.java
@@ -4,8 +4,10 @@
 public final class QuotaGrant implements Message {
     /** Whether the answering node is primary. */
     public boolean valid;
+
     /** Units granted, at least those asked for or none. */
     public double units;
+
     /** Without a grant, milliseconds until there may be one. */
     public long waitMs;
 
--- a/src/main/java/yewyoke/message/Replicate.java
+++ b/src/main/java/yewyoke/message/Replicate.java
@@ -4,10 +4,13 @@
 public final class Replicate implements Message {
     /** The epoch of the primary. */
     public long epoch;
+
     /** The document after the change. */
     public byte[] document = {};
+
     /** Its number. */
     public long generation;
+
     /** The digest of the order. */
     public String order = "";
 
--- a/src/main/java/yewyoke/message/ShareInstances.java
+++ b/src/main/java/yewyoke/message/ShareInstances.java
@@ -7,6 +7,7 @@
 public final class ShareInstances implements Message {
     /** The epoch of the primary. */
     public long epoch;
+
     /** The records. */
     public List<InstanceRecord> instances = new ArrayList<>();
 
--- a/src/main/java/yewyoke/message/Snapshot.java
+++ b/src/main/java/yewyoke/message/Snapshot.java
@@ -7,8 +7,10 @@
 public final class Snapshot {
     /** The document as compressed JSON, empty before the first. */
     public byte[] document = {};
+
     /** The operator's number of the document. */
     public long generation;
+
     /** Digests of the orders taken, the oldest first. */
     public List<String> orders = new ArrayList<>();
 
--- a/src/main/java/yewyoke/message/StoredState.java
+++ b/src/main/java/yewyoke/message/StoredState.java
@@ -7,14 +7,20 @@
 public final class StoredState implements Message {
     /** Identity of this store. */
     public String store = "";
+
     /** The highest epoch promised to a candidate. */
     public long promised;
+
     /** The last view accepted, null if none. */
     public View accepted;
+
     /** The replicated state, as far as this node holds it. */
     public Snapshot snapshot = new Snapshot();
 
-    /** Upstreams as this replica knew them at its last save: a hint for the first moments after a restart. */
+    /**
+     * Upstreams as this replica knew them at its last save: a hint for the first moments after a
+     * restart.
+     */
     public List<InstanceRecord> instances = new ArrayList<>();
 
     /** The same with the upstreams known now. */
--- a/src/main/java/yewyoke/message/View.java
+++ b/src/main/java/yewyoke/message/View.java
@@ -8,18 +8,28 @@
 public final class View {
     /** The epoch; each has one primary at most. */
     public long epoch;
+
     /** The primary, null before the first. */
     public Member primary;
+
     /** The members that hold the state, the primary first. */
     public List<Member> replicas = new ArrayList<>();
+
     /** The members that store epochs and vote. */
     public List<Member> group = new ArrayList<>();
 
-    /** The group before this view; its majority counts too until a view follows in which nothing changed. */
+    /**
+     * The group before this view; its majority counts too until a view follows in which nothing
+     * changed.
+     */
     public List<Member> previous = new ArrayList<>();
 
     /** Creates a view from its parts. */
-    public static View of(long epoch, Member primary, List<Member> replicas, List<Member> group,
+    public static View of(
+            long epoch,
+            Member primary,
+            List<Member> replicas,
+            List<Member> group,
             List<Member> previous) {
         View view = new View();
         view.previous = new ArrayList<>(previous);
@@ -45,7 +55,15 @@
         return count > voters.size() / 2;
     }
 
-    @Override public String toString() {
-        return "epoch " + epoch + " primary " + primary + " replicas " + replicas + " group " + group;
+    @Override
+    public String toString() {
+        return "epoch "
+                + epoch
+                + " primary "
+                + primary
+                + " replicas "
+                + replicas
+                + " group "
+                + group;
     }
 }
--- a/src/main/java/yewyoke/process/Address.java
+++ b/src/main/java/yewyoke/process/Address.java
@@ -14,10 +14,12 @@
         } catch (NumberFormatException e) {
             // told below, as for any other text that is no address
         }
-        throw new SettingsException(ResultCode.SETTINGS_VALUE, field + " is not an address: " + text);
+        throw new SettingsException(
+                ResultCode.SETTINGS_VALUE, field + " is not an address: " + text);
     }
 
-    @Override public String toString() {
+    @Override
+    public String toString() {
         return host + ":" + port;
     }
 }
--- a/src/main/java/yewyoke/process/NodeSettings.java
+++ b/src/main/java/yewyoke/process/NodeSettings.java
@@ -11,19 +11,40 @@
 import yewyoke.io.ResultCode;
 
 /** What the platform tells a process, checked whole; fields that are not known are ignored. */
-public record NodeSettings(String nodeName, String role, String ip, String zone, String region,
-        int firstPort, List<Address> seeds, boolean bootstrap, long heartbeatMs, String dataFolder,
-        Address frontend, Address readiness, Address control, int toleratedMachines, Limits limits,
+public record NodeSettings(
+        String nodeName,
+        String role,
+        String ip,
+        String zone,
+        String region,
+        int firstPort,
+        List<Address> seeds,
+        boolean bootstrap,
+        long heartbeatMs,
+        String dataFolder,
+        Address frontend,
+        Address readiness,
+        Address control,
+        int toleratedMachines,
+        Limits limits,
         Bounds bounds) {
     /** The environment variable that names the settings file. */
     public static final String VARIABLE = "MYRTLELADDER_CONFIG";
 
     /** What the machine gives. */
-    public record Limits(int memoryMb, int descriptors) { }
+    public record Limits(int memoryMb, int descriptors) {}
 
     /** Figures of the rules. */
-    public record Bounds(long drainMs, long configMs, long graceMs, double budgetRatio, long budgetWindowMs,
-            int budgetSlack, long contactMs, double quotaOverage, double quotaSlack) { }
+    public record Bounds(
+            long drainMs,
+            long configMs,
+            long graceMs,
+            double budgetRatio,
+            long budgetWindowMs,
+            int budgetSlack,
+            long contactMs,
+            double quotaOverage,
+            double quotaSlack) {}
 
     /** Reads the file that the environment names; the file may have changed since the start. */
     public static NodeSettings fromEnvironment() {
@@ -51,16 +72,28 @@
         try {
             root = new TomlMapper().readTree(text);
         } catch (JsonProcessingException e) {
-            String line = e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr() + ": ";
+            String line =
+                    e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr() + ": ";
             throw new SettingsException(ResultCode.SETTINGS_SYNTAX, line + e.getOriginalMessage());
         }
         JsonNode listen = root.path("listen");
-        return new NodeSettings(text(root, "node_name"), text(root, "role"), text(root, "ip"),
-                text(root, "zone"), root.path("region").asText(""), firstPort(root), seeds(root),
-                root.path("bootstrap").asBoolean(false), number(root, "heartbeat_ms", 1, 600_000),
-                root.path("data_dir").asText(""), address(listen, "frontend"), address(listen, "readiness"),
-                address(listen, "control"), root.path("fault_tolerance").path("machines").asInt(0),
-                limits(root.path("limits")), bounds(root.path("bounds")));
+        return new NodeSettings(
+                text(root, "node_name"),
+                text(root, "role"),
+                text(root, "ip"),
+                text(root, "zone"),
+                root.path("region").asText(""),
+                firstPort(root),
+                seeds(root),
+                root.path("bootstrap").asBoolean(false),
+                number(root, "heartbeat_ms", 1, 600_000),
+                root.path("data_dir").asText(""),
+                address(listen, "frontend"),
+                address(listen, "readiness"),
+                address(listen, "control"),
+                root.path("fault_tolerance").path("machines").asInt(0),
+                limits(root.path("limits")),
+                bounds(root.path("bounds")));
     }
 
     private static Limits limits(JsonNode node) {
@@ -68,11 +101,16 @@
     }
 
     private static Bounds bounds(JsonNode node) {
-        return new Bounds(node.path("drain_ms").asLong(2_000), node.path("config_ms").asLong(2_000),
-                Math.round(node.path("grace_s").asDouble(8) * 1_000), node.path("budget_ratio").asDouble(0.1),
+        return new Bounds(
+                node.path("drain_ms").asLong(2_000),
+                node.path("config_ms").asLong(2_000),
+                Math.round(node.path("grace_s").asDouble(8) * 1_000),
+                node.path("budget_ratio").asDouble(0.1),
                 Math.round(node.path("budget_window_s").asDouble(10) * 1_000),
-                node.path("budget_slack").asInt(0), node.path("contact_ms").asLong(3_000),
-                node.path("quota_overage").asDouble(0), node.path("quota_slack").asDouble(0));
+                node.path("budget_slack").asInt(0),
+                node.path("contact_ms").asLong(3_000),
+                node.path("quota_overage").asDouble(0),
+                node.path("quota_slack").asDouble(0));
     }
 
     private static String text(JsonNode node, String name) {
@@ -86,7 +124,8 @@
     private static long number(JsonNode node, String name, long least, long most) {
         JsonNode value = node.path(name);
         if (!value.isNumber() || value.asLong() < least || value.asLong() > most) {
-            throw new SettingsException(ResultCode.SETTINGS_VALUE,
+            throw new SettingsException(
+                    ResultCode.SETTINGS_VALUE,
                     name + " is not a number from " + least + " to " + most);
         }
         return value.asLong();
@@ -95,7 +134,8 @@
     private static int firstPort(JsonNode root) {
         int port = root.path("port_range").path(0).asInt(0);
         if (port < 1 || port > 65_535) {
-            throw new SettingsException(ResultCode.SETTINGS_VALUE, "port_range does not begin with a port");
+            throw new SettingsException(
+                    ResultCode.SETTINGS_VALUE, "port_range does not begin with a port");
         }
         return port;
     }
--- a/src/main/java/yewyoke/replication/Candidacy.java
+++ b/src/main/java/yewyoke/replication/Candidacy.java
@@ -18,11 +18,18 @@
 import yewyoke.message.View;
 
 /**
- * One attempt to install a view: promises of a majority, the state at all its replicas, then the view at a
- * majority of the group before and of the group after it.
+ * One attempt to install a view: promises of a majority, the state at all its replicas, then the
+ * view at a majority of the group before and of the group after it.
  */
 final class Candidacy {
-    private enum Step { TRIAL, SAVING, PREPARING, INSTALLING, ACCEPTING, ENDED }
+    private enum Step {
+        TRIAL,
+        SAVING,
+        PREPARING,
+        INSTALLING,
+        ACCEPTING,
+        ENDED
+    }
 
     private final Replica replica;
     private final List<Member> nextGroup;
@@ -40,7 +47,10 @@
     private View base;
     private View view;
 
-    /** {@code baseChosen} says that the view to start from is known to hold, so that its group may change. */
+    /**
+     * {@code baseChosen} says that the view to start from is known to hold, so that its group may
+     * change.
+     */
     Candidacy(Replica replica, List<Member> nextGroup, boolean baseChosen, boolean withTrial) {
         this.replica = replica;
         this.baseChosen = baseChosen;
@@ -94,14 +104,18 @@
             if (member.address.equals(replica.self().address) || !asked.add(member.address)) {
                 continue;
             }
-            replica.peers().call(member.address, Prepare.of(asking, replica.self(), trial), ReplicaTimes.CALL,
-                    answer -> {
-                        if (answer instanceof Promise promise && promise.member != null) {
-                            promised(promise, trial);
-                        } else if (asking == epoch) {
-                            asked.remove(member.address);
-                        }
-                    });
+            replica.peers()
+                    .call(
+                            member.address,
+                            Prepare.of(asking, replica.self(), trial),
+                            ReplicaTimes.CALL,
+                            answer -> {
+                                if (answer instanceof Promise promise && promise.member != null) {
+                                    promised(promise, trial);
+                                } else if (asking == epoch) {
+                                    asked.remove(member.address);
+                                }
+                            });
         }
     }
 
@@ -144,14 +158,16 @@
         promises.clear();
         asked.clear();
         epoch = Math.max(epoch, replica.highestEpoch() + 1);
-        replica.saveState(replica.stored().withPromised(epoch), ok -> {
-            if (!ok || step != Step.SAVING) {
-                return;
-            }
-            become(Step.PREPARING);
-            askAll();
-            evaluatePromises();
-        });
+        replica.saveState(
+                replica.stored().withPromised(epoch),
+                ok -> {
+                    if (!ok || step != Step.SAVING) {
+                        return;
+                    }
+                    become(Step.PREPARING);
+                    askAll();
+                    evaluatePromises();
+                });
     }
 
     /** The last view that may have committed changes, as far as those who promised know. */
@@ -214,15 +230,20 @@
         install();
     }
 
-    private void addIfFit(List<Member> candidates, Member member, List<Member> group, boolean evenAvoided) {
-        boolean fit = promises.containsKey(member) && group.contains(member)
-                && (evenAvoided || !replica.avoided(member));
+    private void addIfFit(
+            List<Member> candidates, Member member, List<Member> group, boolean evenAvoided) {
+        boolean fit =
+                promises.containsKey(member)
+                        && group.contains(member)
+                        && (evenAvoided || !replica.avoided(member));
         if (fit && !member.equals(replica.self()) && !candidates.contains(member)) {
             candidates.add(member);
         }
     }
 
-    /** A group changes only from a view that is known to hold: else two of them might follow one. */
+    /**
+     * A group changes only from a view that is known to hold: else two of them might follow one.
+     */
     private boolean mayChangeGroup() {
         return baseChosen && !baseMoved;
     }
@@ -234,19 +255,25 @@
             if (member.equals(replica.self())) {
                 continue;
             }
-            replica.peers().call(member.address, Install.of(epoch, replica.stored().snapshot),
-                    ReplicaTimes.DISK_PATIENCE, answer -> {
-                        if (step != Step.INSTALLING) {
-                            return;
-                        }
-                        if (answer instanceof Acknowledge reply && reply.taken && member.equals(reply.member)) {
-                            installed.add(member);
-                            acceptIfInstalled();
-                        } else {
-                            replica.avoidNow(member);
-                            replica.lost(member + " does not take the state", true);
-                        }
-                    });
+            replica.peers()
+                    .call(
+                            member.address,
+                            Install.of(epoch, replica.stored().snapshot),
+                            ReplicaTimes.DISK_PATIENCE,
+                            answer -> {
+                                if (step != Step.INSTALLING) {
+                                    return;
+                                }
+                                if (answer instanceof Acknowledge reply
+                                        && reply.taken
+                                        && member.equals(reply.member)) {
+                                    installed.add(member);
+                                    acceptIfInstalled();
+                                } else {
+                                    replica.avoidNow(member);
+                                    replica.lost(member + " does not take the state", true);
+                                }
+                            });
         }
         acceptIfInstalled();
     }
@@ -256,22 +283,31 @@
             return;
         }
         become(Step.ACCEPTING);
-        replica.saveState(replica.stored().withAccepted(view), ok -> {
-            if (ok && step == Step.ACCEPTING) {
-                accepted.add(replica.self());
-                winIfAccepted();
-            }
-        });
+        replica.saveState(
+                replica.stored().withAccepted(view),
+                ok -> {
+                    if (ok && step == Step.ACCEPTING) {
+                        accepted.add(replica.self());
+                        winIfAccepted();
+                    }
+                });
         Set<Member> all = new LinkedHashSet<>(view.group);
         all.addAll(view.previous);
         for (Member member : all) {
             if (!member.equals(replica.self())) {
-                replica.peers().call(member.address, Accept.of(view), ReplicaTimes.CALL, answer -> {
-                    if (answer instanceof Acknowledge reply && reply.taken && reply.member != null) {
-                        accepted.add(reply.member);
-                        winIfAccepted();
-                    }
-                });
+                replica.peers()
+                        .call(
+                                member.address,
+                                Accept.of(view),
+                                ReplicaTimes.CALL,
+                                answer -> {
+                                    if (answer instanceof Acknowledge reply
+                                            && reply.taken
+                                            && reply.member != null) {
+                                        accepted.add(reply.member);
+                                        winIfAccepted();
+                                    }
+                                });
             }
         }
     }
--- a/src/main/java/yewyoke/replication/Replica.java
+++ b/src/main/java/yewyoke/replication/Replica.java
@@ -30,21 +30,29 @@
 import yewyoke.message.View;
 
 /**
- * Primary-backup replication with witnesses. A change is committed once every replica of the current view
- * has synced it. A view is installed under a new epoch by a member that is a replica of the last view, once
- * the replicas have the whole state and a majority of the group has stored it; from the promise of an epoch
- * on a member takes nothing from lower ones.
+ * Primary-backup replication with witnesses. A change is committed once every replica of the
+ * current view has synced it. A view is installed under a new epoch by a member that is a replica
+ * of the last view, once the replicas have the whole state and a majority of the group has stored
+ * it; from the promise of an epoch on a member takes nothing from lower ones.
  */
 public final class Replica {
     private static final Logger LOG = LogManager.getLogger(Replica.class);
     private static final int MOST_ORDERS = 2_000;
 
     /** What this node is at the moment. */
-    public enum State { JOINING, FOLLOWER, CANDIDATE, PRIMARY }
+    public enum State {
+        JOINING,
+        FOLLOWER,
+        CANDIDATE,
+        PRIMARY
+    }
 
     /** Who hears of changes of the role. */
     public interface Listener {
-        /** This node is primary of a new epoch; {@code instances} are the upstreams that others knew. */
+        /**
+         * This node is primary of a new epoch; {@code instances} are the upstreams that others
+         * knew.
+         */
         void becamePrimary(Collection<InstanceRecord> instances);
 
         /** This node is primary no more. */
@@ -103,8 +111,15 @@
     }
 
     /** Creates a replica from what its disk held, null for an empty one. */
-    public Replica(ReplicaOptions options, StoredState onDisk, String newStore, Scheduler scheduler,
-            Storage storage, Peers peers, Listener listener, Supplier<List<InstanceRecord>> instances) {
+    public Replica(
+            ReplicaOptions options,
+            StoredState onDisk,
+            String newStore,
+            Scheduler scheduler,
+            Storage storage,
+            Peers peers,
+            Listener listener,
+            Supplier<List<InstanceRecord>> instances) {
         this.options = options;
         this.scheduler = scheduler;
         this.storage = storage;
@@ -123,15 +138,24 @@
         known = stored.accepted;
     }
 
-    /** On the first start of the system the seeds are the group, under identities that all can tell. */
+    /**
+     * On the first start of the system the seeds are the group, under identities that all can tell.
+     */
     private StoredState firstState(String newStore) {
-        boolean seed = options.seeds().stream().anyMatch(s -> s.address.equals(options.self().address));
+        boolean seed =
+                options.seeds().stream().anyMatch(s -> s.address.equals(options.self().address));
         if (!options.bootstrap() || !seed) {
             return StoredState.of(newStore, 0, null, new Snapshot());
         }
-        List<Member> group = options.seeds().stream()
-                .map(s -> Member.of(s.address, s.control, firstStore(s))).toList();
-        return StoredState.of(firstStore(options.self()), 0, View.of(0, null, group, group, group), new Snapshot());
+        List<Member> group =
+                options.seeds().stream()
+                        .map(s -> Member.of(s.address, s.control, firstStore(s)))
+                        .toList();
+        return StoredState.of(
+                firstStore(options.self()),
+                0,
+                View.of(0, null, group, group, group),
+                new Snapshot());
     }
 
     private static String firstStore(Member seed) {
@@ -142,17 +166,24 @@
     public void start() {
         lastHeard = scheduler.now();
         lastTick = lastHeard;
-        LOG.info("replica starts: store {} promised {} view {} generation {}", stored.store, stored.promised,
-                stored.accepted, stored.snapshot.generation);
-        save(stored, ok -> {
-            if (inGroup()) {
-                become(State.FOLLOWER, "in the group");
-            }
-            tick();
-        });
-    }
-
-    // ---- What others may ask -------------------------------------------------------------------------
+        LOG.info(
+                "replica starts: store {} promised {} view {} generation {}",
+                stored.store,
+                stored.promised,
+                stored.accepted,
+                stored.snapshot.generation);
+        save(
+                stored,
+                ok -> {
+                    if (inGroup()) {
+                        become(State.FOLLOWER, "in the group");
+                    }
+                    tick();
+                });
+    }
+
+    // ---- What others may ask
+    // -------------------------------------------------------------------------
 
     /** What this node is. */
     public State state() {
@@ -187,11 +218,12 @@
         long now = scheduler.now();
         List<Member> heard = new ArrayList<>();
         heard.add(self);
-        heardFrom.forEach((member, at) -> {
-            if (now - at <= ReplicaTimes.CONFIRMED_FOR) {
-                heard.add(member);
-            }
-        });
+        heardFrom.forEach(
+                (member, at) -> {
+                    if (now - at <= ReplicaTimes.CONFIRMED_FOR) {
+                        heard.add(member);
+                    }
+                });
         return known.hasMajority(heard);
     }
 
@@ -200,11 +232,13 @@
         if (state == State.PRIMARY) {
             return self;
         }
-        boolean heard = scheduler.now() - lastHeard < ReplicaTimes.PATIENCE + ReplicaTimes.HEARTBEAT;
+        boolean heard =
+                scheduler.now() - lastHeard < ReplicaTimes.PATIENCE + ReplicaTimes.HEARTBEAT;
         return known != null && heard ? known.primary : null;
     }
 
-    // ---- Changes of state ----------------------------------------------------------------------------
+    // ---- Changes of state
+    // ----------------------------------------------------------------------------
 
     private void become(State next, String why) {
         if (state == next) {
@@ -234,14 +268,16 @@
             savingSince = scheduler.now();
         }
         boolean holdsState = known != null && known.replicas.contains(self);
-        storage.save(holdsState ? next.withInstances(instances.get()) : next, ok -> {
-            saving--;
-            savingSince = scheduler.now();
-            if (!ok) {
-                diskFailed();
-            }
-            done.accept(ok);
-        });
+        storage.save(
+                holdsState ? next.withInstances(instances.get()) : next,
+                ok -> {
+                    saving--;
+                    savingSince = scheduler.now();
+                    if (!ok) {
+                        diskFailed();
+                    }
+                    done.accept(ok);
+                });
     }
 
     private boolean diskStuck() {
@@ -266,7 +302,8 @@
         }
         for (Member replica : known.replicas) {
             if (!replica.equals(self)) {
-                peers.call(replica.address, Resign.of(known.epoch), ReplicaTimes.CALL, answer -> { });
+                peers.call(
+                        replica.address, Resign.of(known.epoch), ReplicaTimes.CALL, answer -> {});
                 return;
             }
         }
@@ -276,7 +313,8 @@
         return known != null && known.group.contains(self);
     }
 
-    // ---- Time ----------------------------------------------------------------------------------------
+    // ---- Time
+    // ----------------------------------------------------------------------------------------
 
     private void tick() {
         long now = scheduler.now();
@@ -324,14 +362,20 @@
         List<String> all = new ArrayList<>(addresses);
         View view = known;
         String first = view != null && view.primary != null ? view.primary.address : null;
-        String target = first != null && joinTurn % 2 == 0 && !first.equals(self.address) ? first
-                : all.get(joinTurn / 2 % all.size());
+        String target =
+                first != null && joinTurn % 2 == 0 && !first.equals(self.address)
+                        ? first
+                        : all.get(joinTurn / 2 % all.size());
         joinTurn++;
-        peers.call(target, Join.of(self), ReplicaTimes.CALL, answer -> {
-            if (answer instanceof JoinReply reply && reply.view != null) {
-                learn(reply.view);
-            }
-        });
+        peers.call(
+                target,
+                Join.of(self),
+                ReplicaTimes.CALL,
+                answer -> {
+                    if (answer instanceof JoinReply reply && reply.view != null) {
+                        learn(reply.view);
+                    }
+                });
     }
 
     private void learn(View view) {
@@ -340,7 +384,8 @@
         }
     }
 
-    // ---- The primary ---------------------------------------------------------------------------------
+    // ---- The primary
+    // ---------------------------------------------------------------------------------
 
     private void lead(long now) {
         if (diskStuck()) {
@@ -349,10 +394,11 @@
         }
         if (now - lastHeartbeat >= ReplicaTimes.HEARTBEAT) {
             lastHeartbeat = now;
-            sendHeartbeats(heard -> { });
+            sendHeartbeats(heard -> {});
         }
         for (Member replica : known.replicas) {
-            boolean silent = now - heardFrom.getOrDefault(replica, lastHeard) > ReplicaTimes.REPLICA_SILENT;
+            boolean silent =
+                    now - heardFrom.getOrDefault(replica, lastHeard) > ReplicaTimes.REPLICA_SILENT;
             if (!replica.equals(self) && silent) {
                 avoid(replica);
                 stand(false, "replica " + replica + " is silent");
@@ -376,13 +422,19 @@
             if (member.equals(self)) {
                 continue;
             }
-            peers.call(member.address, Heartbeat.of(view), ReplicaTimes.CALL, answer -> {
-                if (answer instanceof Acknowledge reply && reply.member != null && state == State.PRIMARY
-                        && known == view) {
-                    acknowledged(reply, heard);
-                    progress.accept(heard);
-                }
-            });
+            peers.call(
+                    member.address,
+                    Heartbeat.of(view),
+                    ReplicaTimes.CALL,
+                    answer -> {
+                        if (answer instanceof Acknowledge reply
+                                && reply.member != null
+                                && state == State.PRIMARY
+                                && known == view) {
+                            acknowledged(reply, heard);
+                            progress.accept(heard);
+                        }
+                    });
         }
     }
 
@@ -409,12 +461,14 @@
         View view = known;
         Confirmation confirmation = new Confirmation(done);
         confirming.add(confirmation);
-        scheduler.schedule(ReplicaTimes.CALL + ReplicaTimes.TICK, () -> confirmed(confirmation, false));
-        sendHeartbeats(heard -> {
-            if (view.hasMajority(heard)) {
-                confirmed(confirmation, state == State.PRIMARY);
-            }
-        });
+        scheduler.schedule(
+                ReplicaTimes.CALL + ReplicaTimes.TICK, () -> confirmed(confirmation, false));
+        sendHeartbeats(
+                heard -> {
+                    if (view.hasMajority(heard)) {
+                        confirmed(confirmation, state == State.PRIMARY);
+                    }
+                });
     }
 
     private void confirmed(Confirmation confirmation, boolean still) {
@@ -426,7 +480,7 @@
     /** Writes what is known of upstreams along with the state, if this node holds it. */
     public void saveInstances() {
         if (known != null && known.replicas.contains(self) && saving == 0) {
-            save(stored, ok -> { });
+            save(stored, ok -> {});
         }
     }
 
@@ -441,8 +495,8 @@
     }
 
     /**
-     * Takes a change. It is told true once every replica has synced it, false if that is not known; then it
-     * may be in force later or not.
+     * Takes a change. It is told true once every replica has synced it, false if that is not known;
+     * then it may be in force later or not.
      */
     public void submit(byte[] document, long generation, String order, Consumer<Boolean> done) {
         if (state != State.PRIMARY || pending != null) {
@@ -457,11 +511,17 @@
         save(stored.withSnapshot(next), ok -> replicated(change, ok, self));
         for (Member replica : view.replicas) {
             if (!replica.equals(self)) {
-                peers.call(replica.address, Replicate.of(view.epoch, document, generation, order),
-                        ReplicaTimes.DISK_PATIENCE, answer -> {
-                            boolean taken = answer instanceof Acknowledge reply && reply.taken
-                                    && replica.equals(reply.member);
-                            if (answer instanceof Acknowledge reply && reply.promised > stored.promised) {
+                peers.call(
+                        replica.address,
+                        Replicate.of(view.epoch, document, generation, order),
+                        ReplicaTimes.DISK_PATIENCE,
+                        answer -> {
+                            boolean taken =
+                                    answer instanceof Acknowledge reply
+                                            && reply.taken
+                                            && replica.equals(reply.member);
+                            if (answer instanceof Acknowledge reply
+                                    && reply.promised > stored.promised) {
                                 deposed(reply.promised);
                             }
                             replicated(change, taken, replica);
@@ -473,7 +533,9 @@
     private static List<String> withOrder(List<String> orders, String order) {
         List<String> next = new ArrayList<>(orders);
         next.add(order);
-        return next.size() > MOST_ORDERS ? next.subList(next.size() - MOST_ORDERS, next.size()) : next;
+        return next.size() > MOST_ORDERS
+                ? next.subList(next.size() - MOST_ORDERS, next.size())
+                : next;
     }
 
     private void replicated(Pending change, boolean taken, Member replica) {
@@ -512,7 +574,8 @@
         }
         List<Member> silent = new ArrayList<>();
         for (Member member : known.group) {
-            boolean gone = now - heardFrom.getOrDefault(member, lastHeard) > ReplicaTimes.MEMBER_SILENT;
+            boolean gone =
+                    now - heardFrom.getOrDefault(member, lastHeard) > ReplicaTimes.MEMBER_SILENT;
             if (!member.equals(self) && gone && known.group.size() - silent.size() > least) {
                 silent.add(member);
             }
@@ -520,7 +583,8 @@
         return silent;
     }
 
-    // ---- A new view ----------------------------------------------------------------------------------
+    // ---- A new view
+    // ----------------------------------------------------------------------------------
 
     private void stand(boolean trial, String why) {
         List<Member> group = nextGroup();
@@ -531,7 +595,9 @@
         candidacy.begin();
     }
 
-    /** The group with those who ask to be admitted, without those whose store or machine is gone. */
+    /**
+     * The group with those who ask to be admitted, without those whose store or machine is gone.
+     */
     private List<Member> nextGroup() {
         List<Member> group = new ArrayList<>(known.group);
         if (state != State.PRIMARY || !known.settled()) {
@@ -610,7 +676,8 @@
         learn(view);
     }
 
-    // ---- Messages ------------------------------------------------------------------------------------
+    // ---- Messages
+    // ------------------------------------------------------------------------------------
 
     /** Takes a message of another node; the answer, if there is to be one, is handed over once. */
     public boolean receive(Message message, Consumer<Message> answer) {
@@ -639,16 +706,24 @@
     }
 
     private void prepare(Prepare message, Consumer<Message> answer) {
-        boolean hears = state == State.PRIMARY && recentlyConfirmed()
-                || scheduler.now() - lastHeard < ReplicaTimes.FIRST_PATIENCE && state == State.FOLLOWER
-                && known != null && known.primary != null && !known.primary.equals(message.candidate)
-                && stored.promised <= known.epoch;
+        boolean hears =
+                state == State.PRIMARY && recentlyConfirmed()
+                        || scheduler.now() - lastHeard < ReplicaTimes.FIRST_PATIENCE
+                                && state == State.FOLLOWER
+                                && known != null
+                                && known.primary != null
+                                && !known.primary.equals(message.candidate)
+                                && stored.promised <= known.epoch;
         if (message.trial) {
             answer.accept(promise(message.epoch > stored.promised && !hears));
             return;
         }
         if (message.epoch == stored.promised && message.candidate.equals(promisedTo)) {
-            save(stored, ok -> answer.accept(ok ? promise(true) : null)); // asked again: the answer was lost
+            save(
+                    stored,
+                    ok ->
+                            answer.accept(
+                                    ok ? promise(true) : null)); // asked again: the answer was lost
             return;
         }
         if (message.epoch <= stored.promised) {
@@ -658,7 +733,9 @@
         lastHeard = scheduler.now();
         promisedTo = message.candidate;
         if (state == State.PRIMARY || state == State.CANDIDATE) {
-            become(State.FOLLOWER, "epoch " + message.epoch + " is prepared by " + message.candidate);
+            become(
+                    State.FOLLOWER,
+                    "epoch " + message.epoch + " is prepared by " + message.candidate);
         }
         save(stored.withPromised(message.epoch), ok -> answer.accept(ok ? promise(true) : null));
     }
@@ -702,15 +779,21 @@
 
     private void replicate(Replicate message, Consumer<Message> answer) {
         View accepted = stored.accepted;
-        boolean current = accepted != null && accepted.epoch == message.epoch
-                && stored.promised == message.epoch && accepted.replicas.contains(self);
+        boolean current =
+                accepted != null
+                        && accepted.epoch == message.epoch
+                        && stored.promised == message.epoch
+                        && accepted.replicas.contains(self);
         if (!current) {
             answer.accept(reply(false));
             return;
         }
         lastHeard = scheduler.now();
-        Snapshot next = Snapshot.of(message.document, message.generation,
-                withOrder(stored.snapshot.orders, message.order));
+        Snapshot next =
+                Snapshot.of(
+                        message.document,
+                        message.generation,
+                        withOrder(stored.snapshot.orders, message.order));
         save(stored.withSnapshot(next), ok -> answer.accept(ok ? reply(true) : null));
     }
 
@@ -729,7 +812,8 @@
 
     private void resigned(Resign message, Consumer<Message> answer) {
         answer.accept(reply(true));
-        boolean next = known != null && known.epoch == message.epoch && known.replicas.contains(self);
+        boolean next =
+                known != null && known.epoch == message.epoch && known.replicas.contains(self);
         if (next && state == State.FOLLOWER && scheduler.now() >= suppressedUntil) {
             stand(false, "the primary resigned");
         }
--- a/src/main/java/yewyoke/replication/ReplicaTimes.java
+++ b/src/main/java/yewyoke/replication/ReplicaTimes.java
@@ -19,5 +19,5 @@
     static final long SUPPRESSED = 3_000;
     static final long FROZEN = 400;
 
-    private ReplicaTimes() { }
+    private ReplicaTimes() {}
 }
--- a/src/main/java/yewyoke/rpc/MessageServer.java
+++ b/src/main/java/yewyoke/rpc/MessageServer.java
@@ -42,12 +42,14 @@
             exchange.respond(400, new Headers(), NO_BYTES);
             return;
         }
-        handler.receive(message, answer -> {
-            if (answer == null) {
-                exchange.respond(503, new Headers(), NO_BYTES);
-            } else {
-                exchange.respond(200, new Headers(), MessageCodec.encode(answer));
-            }
-        });
+        handler.receive(
+                message,
+                answer -> {
+                    if (answer == null) {
+                        exchange.respond(503, new Headers(), NO_BYTES);
+                    } else {
+                        exchange.respond(200, new Headers(), MessageCodec.encode(answer));
+                    }
+                });
     }
 }
--- a/src/main/java/yewyoke/rpc/OneCall.java
+++ b/src/main/java/yewyoke/rpc/OneCall.java
@@ -22,23 +22,28 @@
         call.connection = HttpConnection.connect(loop, host, port, call);
     }
 
-    @Override public void connected() {
+    @Override
+    public void connected() {
         connection.send(head, body);
     }
 
-    @Override public void head(ResponseHead answer) {
+    @Override
+    public void head(ResponseHead answer) {
         // only the end matters
     }
 
-    @Override public void body(byte[] bytes) {
+    @Override
+    public void body(byte[] bytes) {
         // only the end matters
     }
 
-    @Override public void end(boolean reusable) {
+    @Override
+    public void end(boolean reusable) {
         connection.close();
     }
 
-    @Override public void closed(boolean everConnected) {
+    @Override
+    public void closed(boolean everConnected) {
         // nothing is left to do
     }
 }
--- a/src/main/java/yewyoke/rpc/PeerClient.java
+++ b/src/main/java/yewyoke/rpc/PeerClient.java
@@ -29,7 +29,8 @@
         this.loop = loop;
     }
 
-    @Override public void call(String address, Message message, long timeoutMs, Consumer<Message> answer) {
+    @Override
+    public void call(String address, Message message, long timeoutMs, Consumer<Message> answer) {
         byte[] bytes = MessageCodec.encode(message);
         ArrayDeque<Call> free = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
         Call call = free.pollLast();
@@ -69,8 +70,12 @@
 
         void connect() {
             int colon = address.lastIndexOf(':');
-            connection = HttpConnection.connect(loop, address.substring(0, colon),
-                    Integer.parseInt(address.substring(colon + 1)), this);
+            connection =
+                    HttpConnection.connect(
+                            loop,
+                            address.substring(0, colon),
+                            Integer.parseInt(address.substring(colon + 1)),
+                            this);
         }
 
         void send() {
@@ -94,7 +99,8 @@
             }
         }
 
-        @Override public void connected() {
+        @Override
+        public void connected() {
             if (answer == null) {
                 connection.close();
             } else {
@@ -102,17 +108,20 @@
             }
         }
 
-        @Override public void head(ResponseHead head) {
+        @Override
+        public void head(ResponseHead head) {
             status = head.status();
         }
 
-        @Override public void body(byte[] bytes) {
+        @Override
+        public void body(byte[] bytes) {
             byte[] longer = java.util.Arrays.copyOf(received, received.length + bytes.length);
             System.arraycopy(bytes, 0, longer, received.length, bytes.length);
             received = longer;
         }
 
-        @Override public void end(boolean reusable) {
+        @Override
+        public void end(boolean reusable) {
             ArrayDeque<Call> free = idle.get(address);
             if (reusable && free.size() < MOST_IDLE) {
                 free.addLast(this);
@@ -130,7 +139,8 @@
             finish(message);
         }
 
-        @Override public void closed(boolean everConnected) {
+        @Override
+        public void closed(boolean everConnected) {
             idle.get(address).remove(this);
             finish(null);
         }
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -19,7 +19,8 @@
     /** Each package with all that it may use, the platform's own apart. */
     @ParameterizedTest
     @CsvSource({"yewyoke,", "yewyoke.error,", "yewyoke.toml,yewyoke.error com.fasterxml.jackson..",
-        "yewyoke.command,yewyoke.error yewyoke.toml yewyoke.node yewyoke.lab yewyoke.fleet.. picocli "
+        "yewyoke.command,yewyoke.error yewyoke.toml yewyoke.node yewyoke.lab yewyoke.fleet.. "
+                + "picocli "
         + "io.netty.. io.micrometer.. com.fasterxml.jackson.. org.apache.logging.log4j..",
         "yewyoke.settings,yewyoke yewyoke.error com.fasterxml.jackson.core..",
         "yewyoke.adapter,yewyoke yewyoke.error yewyoke.settings com.fasterxml.jackson.core..",
@@ -27,7 +28,8 @@
         "yewyoke.fleet.member,com.fasterxml.jackson.core..",
         "yewyoke.fleet.agree,com.fasterxml.jackson.core..",
         "yewyoke.fleet.work,yewyoke.fleet.agree com.fasterxml.jackson.core..",
-        "yewyoke.fleet.carrier,yewyoke.fleet.member yewyoke.fleet.agree yewyoke.fleet.work io.netty..",
+        "yewyoke.fleet.carrier,yewyoke.fleet.member yewyoke.fleet.agree yewyoke.fleet.work "
+                + "io.netty..",
         "yewyoke.lab.virtual,yewyoke.lab.fault", "yewyoke.lab.check,",
         "yewyoke.lab.relay,yewyoke.lab.fault io.netty..",
         "yewyoke.lab.stand,yewyoke.lab.check io.netty.. com.fasterxml.jackson.core..",
@@ -42,11 +44,16 @@
         "yewyoke.membership,yewyoke.io yewyoke.message yewyoke.replication",
         "yewyoke.rpc,yewyoke.io yewyoke.message yewyoke.replication",
         "yewyoke.process,yewyoke.io com.fasterxml.jackson..",
-        "yewyoke.control,yewyoke.io yewyoke.message yewyoke.configuration yewyoke.replication yewyoke.rpc "
-        + "yewyoke.process yewyoke.signal org.mapdb.. kotlin.. org.apache.logging.log4j.. org.apache.commons.cli",
-        "yewyoke.dataplane,yewyoke yewyoke.io yewyoke.message yewyoke.configuration yewyoke.replication "
-        + "yewyoke.membership yewyoke.rpc yewyoke.process yewyoke.signal org.apache.logging.log4j.. org.apache.commons.cli",
-        "yewyoke.lab.experiment,yewyoke.error yewyoke.lab.fault yewyoke.lab.check yewyoke.lab.stand "
+        "yewyoke.control,yewyoke.io yewyoke.message yewyoke.configuration "
+                + "yewyoke.replication yewyoke.rpc "
+        + "yewyoke.process yewyoke.signal org.mapdb.. kotlin.. org.apache.logging.log4j.. "
+        + "org.apache.commons.cli",
+        "yewyoke.dataplane,yewyoke yewyoke.io yewyoke.message yewyoke.configuration "
+                + "yewyoke.replication "
+        + "yewyoke.membership yewyoke.rpc yewyoke.process yewyoke.signal "
+        + "org.apache.logging.log4j.. org.apache.commons.cli",
+        "yewyoke.lab.experiment,yewyoke.error yewyoke.lab.fault yewyoke.lab.check "
+                + "yewyoke.lab.stand "
         + "yewyoke.lab.play "
         + "yewyoke.toml com.fasterxml.jackson.. org.HdrHistogram org.jfree.."})
     void aPackageUsesNoMoreThanIsSaid(String name, String others) {
@@ -67,7 +74,8 @@
         noClasses().that().resideInAnyPackage("yewyoke", "yewyoke.node..", "yewyoke.adapter..",
                 "yewyoke.settings..").should().dependOnClassesThat().resideInAnyPackage("yewyoke.lab..",
                 "yewyoke.command..", "yewyoke.toml..",
-                "yewyoke.fleet..", "yewyoke.io..", "yewyoke.control..", "yewyoke.dataplane..", "picocli..", "com.fasterxml.jackson.databind..",
+                "yewyoke.fleet..", "yewyoke.io..", "yewyoke.control..",
+                "yewyoke.dataplane..", "picocli..", "com.fasterxml.jackson.databind..",
                 "io.micrometer..", "org.HdrHistogram..", "org.jfree..",
                 "org.apache.logging..").check(PROGRAM);
     }
--- a/src/test/java/yewyoke/configuration/ConfigurationDocumentTest.java
+++ b/src/test/java/yewyoke/configuration/ConfigurationDocumentTest.java
@@ -12,14 +12,20 @@
 
 /** What an operator may send and what each refusal is called. */
 class ConfigurationDocumentTest {
-    static final String WHOLE = "{'generation':7,'routes':["
-            + "{'name':'r1','hostname':'h.example','path_prefix':'/a/','type':'streaming','timeout_ms':8000,"
-            + "'priority':0,'backend':'s1','retries':2,'resumable':true},"
-            + "{'name':'r2','hostname':'h.example','path_prefix':'/a/b/','type':'non_idempotent',"
-            + "'timeout_ms':500,'traffic_split':[{'backend':'s1','weight':1},{'backend':'s2','weight':0}]}],"
-            + "'services':[{'name':'s1','max_connections':9,'bandwidth':1100000.0},{'name':'s2'}],"
-            + "'limits':{'idle_timeout_ms':15000},"
-            + "'tenants':[{'name':'t1','api_keys':['k1','k2'],'unit':'tokens','rate_per_s':5}]}";
+    static final String WHOLE =
+            "{'generation':7,'routes':["
+                    + "{'name':'r1','hostname':'h.example','path_prefix':'/a/',"
+                    + "'type':'streaming','timeout_ms':8000,"
+                    + "'priority':0,'backend':'s1','retries':2,'resumable':true},"
+                    + "{'name':'r2','hostname':'h.example','path_prefix':'/a/b/',"
+                    + "'type':'non_idempotent',"
+                    + "'timeout_ms':500,'traffic_split':[{'backend':'s1','weight':1},"
+                    + "{'backend':'s2','weight':0}]}],"
+                    + "'services':[{'name':'s1','max_connections':9,'bandwidth':1100000.0},"
+                    + "{'name':'s2'}],"
+                    + "'limits':{'idle_timeout_ms':15000},"
+                    + "'tenants':[{'name':'t1','api_keys':['k1','k2'],'unit':'tokens',"
+                    + "'rate_per_s':5}]}";
 
     static byte[] json(String text) {
         return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
@@ -47,9 +53,16 @@
 
     @Test
     void aChangeOfNamedItemsKeepsTheRest() {
-        ConfigurationDocument changed = first().changedBy(json("{'generation':9,'upsert':{'routes':["
-                + "{'name':'r1','hostname':'h.example','path_prefix':'/n/','type':'streaming','timeout_ms':1,"
-                + "'backend':'s2'}],'limits':{'idle_timeout_ms':4000}},'delete':{'routes':['r2']}}"));
+        ConfigurationDocument changed =
+                first().changedBy(
+                                json(
+                                        "{'generation':9,'upsert':{'routes':["
+                                                + "{'name':'r1','hostname':'h.example',"
+                                                + "'path_prefix':'/n/','type':'streaming',"
+                                                + "'timeout_ms':1,"
+                                                + "'backend':'s2'}],"
+                                                + "'limits':{'idle_timeout_ms':4000}},"
+                                                + "'delete':{'routes':['r2']}}"));
         Configuration configuration = changed.configuration();
         assertEquals(9, changed.generation());
         assertEquals("r1", configuration.route("h.example", "/n/x").name());
@@ -59,28 +72,37 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "CONFIGURATION_SYNTAX|{'generation':8,'routes':[",
-        "CONFIGURATION_SYNTAX|[]",
-        "CONFIGURATION_SYNTAX|{'generation':8} x",
-        "CONFIGURATION_FIELD|{'routes':[]}",
-        "CONFIGURATION_FIELD|{'generation':8,'routes':{}}",
-        "CONFIGURATION_FIELD|{'generation':8,'routes':[{'name':'r'}]}",
-        "OLD_GENERATION|{'generation':7}",
-        "OLD_GENERATION|{'generation':3}",
-        "UNKNOWN_SERVICE|{'generation':8,'routes':[{'name':'r','hostname':'h','path_prefix':'/','backend':'x',"
-            + "'timeout_ms':1}]}",
-        "NO_TIMEOUT|{'generation':8,'routes':[{'name':'r','hostname':'h','path_prefix':'/','backend':'s',"
-            + "'timeout_ms':0}],'services':[{'name':'s'}]}",
-        "NO_WEIGHT|{'generation':8,'routes':[{'name':'r','hostname':'h','path_prefix':'/','timeout_ms':1,"
-            + "'traffic_split':[{'backend':'s','weight':0}]}],'services':[{'name':'s'}]}",
-        "SAME_PLACE|{'generation':8,'routes':[{'name':'r','hostname':'h','path_prefix':'/','timeout_ms':1,"
-            + "'backend':'s'},{'name':'q','hostname':'H','path_prefix':'/','timeout_ms':1,'backend':'s'}],"
-            + "'services':[{'name':'s'}]}",
-        "SHARED_KEY|{'generation':8,'tenants':[{'name':'a','api_keys':['k']},{'name':'b','api_keys':['k']}]}"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "CONFIGURATION_SYNTAX|{'generation':8,'routes':[",
+                "CONFIGURATION_SYNTAX|[]",
+                "CONFIGURATION_SYNTAX|{'generation':8} x",
+                "CONFIGURATION_FIELD|{'routes':[]}",
+                "CONFIGURATION_FIELD|{'generation':8,'routes':{}}",
+                "CONFIGURATION_FIELD|{'generation':8,'routes':[{'name':'r'}]}",
+                "OLD_GENERATION|{'generation':7}",
+                "OLD_GENERATION|{'generation':3}",
+                "UNKNOWN_SERVICE|{'generation':8,'routes':[{'name':'r','hostname':'h',"
+                        + "'path_prefix':'/','backend':'x',"
+                        + "'timeout_ms':1}]}",
+                "NO_TIMEOUT|{'generation':8,'routes':[{'name':'r','hostname':'h',"
+                        + "'path_prefix':'/','backend':'s',"
+                        + "'timeout_ms':0}],'services':[{'name':'s'}]}",
+                "NO_WEIGHT|{'generation':8,'routes':[{'name':'r','hostname':'h',"
+                        + "'path_prefix':'/','timeout_ms':1,"
+                        + "'traffic_split':[{'backend':'s','weight':0}]}],'services':[{'name':'s'}]}",
+                "SAME_PLACE|{'generation':8,'routes':[{'name':'r','hostname':'h',"
+                        + "'path_prefix':'/','timeout_ms':1,"
+                        + "'backend':'s'},{'name':'q','hostname':'H','path_prefix':'/',"
+                        + "'timeout_ms':1,'backend':'s'}],"
+                        + "'services':[{'name':'s'}]}",
+                "SHARED_KEY|{'generation':8,'tenants':[{'name':'a','api_keys':['k']},"
+                        + "{'name':'b','api_keys':['k']}]}"
+            })
     void whatIsInvalidIsRefusedByItsNumber(ResultCode code, String text) {
-        ConfigurationException refused = assertThrows(ConfigurationException.class,
-                () -> first().replacedBy(json(text)));
+        ConfigurationException refused =
+                assertThrows(ConfigurationException.class, () -> first().replacedBy(json(text)));
         assertEquals(code, refused.code(), refused.getMessage());
     }
 }
