--- a/src/test/java/yewyoke/control/ControlPlaneTest.java
+++ b/src/test/java/yewyoke/control/ControlPlaneTest.java
@@ -32,7 +32,10 @@
 import yewyoke.replication.Replica;
 import yewyoke.replication.ReplicaOptions;
 
-/** The operator's orders, heartbeats of upstreams and polls at a primary whose two peers are scripted. */
+/**
+ * The operator's orders, heartbeats of upstreams and polls at a primary whose two peers are
+ * scripted.
+ */
 class ControlPlaneTest {
     private final ManualScheduler clock = new ManualScheduler();
     private final List<Message> sent = new ArrayList<>();
@@ -59,68 +62,92 @@
             this.body = body.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
         }
 
-        @Override public RequestHead head() {
+        @Override
+        public RequestHead head() {
             return head;
         }
 
-        @Override public byte[] body() {
+        @Override
+        public byte[] body() {
             return body;
         }
 
-        @Override public String caller() {
+        @Override
+        public String caller() {
             return "operator";
         }
 
-        @Override public void respond(int code, Headers fields, byte[] bytes) {
+        @Override
+        public void respond(int code, Headers fields, byte[] bytes) {
             status = code;
             headers = fields;
             answer = new String(bytes, StandardCharsets.UTF_8);
         }
 
-        @Override public void begin(int code, Headers fields) {
+        @Override
+        public void begin(int code, Headers fields) {
             throw new AssertionError("no answer here comes in pieces");
         }
 
-        @Override public void write(byte[] bytes, int offset, int length) {
+        @Override
+        public void write(byte[] bytes, int offset, int length) {
             throw new AssertionError("no answer here comes in pieces");
         }
 
-        @Override public void end() {
+        @Override
+        public void end() {
             throw new AssertionError("no answer here comes in pieces");
         }
 
-        @Override public void abort() {
+        @Override
+        public void abort() {
             status = -1;
         }
 
-        @Override public boolean open() {
+        @Override
+        public boolean open() {
             return true;
         }
 
-        @Override public void onGone(Runnable task) {
+        @Override
+        public void onGone(Runnable task) {
             // callers here stay
         }
     }
 
     @BeforeEach
     void start() {
-        List<Member> seeds = List.of(Member.of("a:1", "a:2", ""), Member.of("b:1", "b:2", ""),
-                Member.of("c:1", "c:2", ""));
+        List<Member> seeds =
+                List.of(
+                        Member.of("a:1", "a:2", ""),
+                        Member.of("b:1", "b:2", ""),
+                        Member.of("c:1", "c:2", ""));
         plane = new ControlPlane(clock, this::call, 1, 1_000, 0.1, 1_000);
-        replica = new Replica(new ReplicaOptions(seeds.get(0), 1, true, seeds), null, "s", clock,
-                (state, done) -> {
-                    saved = state;
-                    clock.schedule(5, () -> done.accept(true));
-                }, this::call, plane, plane::instances);
+        replica =
+                new Replica(
+                        new ReplicaOptions(seeds.get(0), 1, true, seeds),
+                        null,
+                        "s",
+                        clock,
+                        (state, done) -> {
+                            saved = state;
+                            clock.schedule(5, () -> done.accept(true));
+                        },
+                        this::call,
+                        plane,
+                        plane::instances);
         plane.attach(replica);
         replica.start();
         clock.run(1_000);
         assertEquals(Replica.State.PRIMARY, replica.state());
     }
 
-    private void call(String to, Message message, long timeout, java.util.function.Consumer<Message> answer) {
+    private void call(
+            String to, Message message, long timeout, java.util.function.Consumer<Message> answer) {
         sent.add(message);
-        clock.schedule(peersAnswer ? 2 : timeout, () -> answer.accept(peersAnswer ? reply(to, message) : null));
+        clock.schedule(
+                peersAnswer ? 2 : timeout,
+                () -> answer.accept(peersAnswer ? reply(to, message) : null));
     }
 
     private Message reply(String to, Message message) {
@@ -132,8 +159,12 @@
             promise.member = peer;
             return promise;
         }
-        boolean known = message instanceof Accept || message instanceof Install || message instanceof Replicate
-                || message instanceof Heartbeat || message instanceof ShareInstances;
+        boolean known =
+                message instanceof Accept
+                        || message instanceof Install
+                        || message instanceof Replicate
+                        || message instanceof Heartbeat
+                        || message instanceof ShareInstances;
         return known ? Acknowledge.of(promisedByPeers == 0, promisedByPeers, peer) : null;
     }
 
@@ -145,8 +176,17 @@
     }
 
     private Call heartbeat(String id, String state, int sequence) {
-        Call call = new Call("PUT", "/instances/" + id, null, "{'backend':'s','address':'10.0.0.1:80','zone':'z',"
-                + "'capacity':8,'state':'" + state + "','sequence':" + sequence + "}");
+        Call call =
+                new Call(
+                        "PUT",
+                        "/instances/" + id,
+                        null,
+                        "{'backend':'s','address':'10.0.0.1:80','zone':'z',"
+                                + "'capacity':8,'state':'"
+                                + state
+                                + "','sequence':"
+                                + sequence
+                                + "}");
         plane.handle(call);
         clock.run(20);
         return call;
@@ -170,16 +210,23 @@
         Call put = order("PUT", "0", "{'generation':3,'services':[{'name':'s'}]}");
         assertEquals(200, put.status);
         assertTrue(sent.stream().anyMatch(m -> m instanceof Replicate r && r.generation == 3));
-        assertEquals("{\"generation\":3,\"services\":[{\"name\":\"s\"}]}", order("GET", null, "").answer);
+        assertEquals(
+                "{\"generation\":3,\"services\":[{\"name\":\"s\"}]}",
+                order("GET", null, "").answer);
     }
 
     @Test
     void theSameOrderIsAcknowledgedAgainAlsoAfterLaterOnes() {
         assertEquals(200, order("PUT", "0", "{'generation':3}").status);
         assertEquals(200, order("PUT", "0", "{'generation':3}").status);
-        assertEquals(200, order("PATCH", "3", "{'generation':5,'upsert':{'services':[{'name':'x'}]}}").status);
+        assertEquals(
+                200,
+                order("PATCH", "3", "{'generation':5,'upsert':{'services':[{'name':'x'}]}}")
+                        .status);
         assertEquals(200, order("PUT", "0", "{'generation':3}").status);
-        assertEquals("{\"generation\":5,\"services\":[{\"name\":\"x\"}]}", order("GET", null, "").answer);
+        assertEquals(
+                "{\"generation\":5,\"services\":[{\"name\":\"x\"}]}",
+                order("GET", null, "").answer);
     }
 
     @Test
@@ -197,8 +244,12 @@
     @Test
     void anInvalidChangeIsRefusedByNumber() {
         order("PUT", "0", "{'generation':3}");
-        Call refused = order("PUT", "3", "{'generation':4,'routes':[{'name':'r','hostname':'h','path_prefix':'/',"
-                + "'backend':'none','timeout_ms':1}]}");
+        Call refused =
+                order(
+                        "PUT",
+                        "3",
+                        "{'generation':4,'routes':[{'name':'r','hostname':'h','path_prefix':'/',"
+                                + "'backend':'none','timeout_ms':1}]}");
         assertEquals(400, refused.status);
         assertTrue(refused.answer.contains("E203 UNKNOWN_SERVICE"), refused.answer);
         assertEquals(412, order("PUT", "2", "{'generation':9}").status);
@@ -231,8 +282,12 @@
         assertEquals(200, heartbeat("i", "ready", 1).status);
         sent.clear();
         assertEquals(200, heartbeat("i", "draining", 2).status);
-        assertTrue(sent.stream().anyMatch(m -> m instanceof ShareInstances s
-                && s.instances.get(0).stage == Stage.DRAINING));
+        assertTrue(
+                sent.stream()
+                        .anyMatch(
+                                m ->
+                                        m instanceof ShareInstances s
+                                                && s.instances.get(0).stage == Stage.DRAINING));
         peersAnswer = false;
         Call gone = new Call("DELETE", "/instances/i", null, "");
         plane.handle(gone);
@@ -255,9 +310,19 @@
         heartbeat("d", "draining", 1);
         clock.run(1_000);
         ControlPlane after = new ControlPlane(clock, this::call, 1, 1_000, 0.1, 1_000);
-        after.attach(new Replica(new ReplicaOptions(replica.self(), 1, false, List.of()), saved, "x", clock,
-                (state, done) -> done.accept(true), this::call, after, after::instances));
-        assertEquals(List.of(Stage.READY, Stage.DRAINING), after.instances().stream().map(r -> r.stage).toList());
+        after.attach(
+                new Replica(
+                        new ReplicaOptions(replica.self(), 1, false, List.of()),
+                        saved,
+                        "x",
+                        clock,
+                        (state, done) -> done.accept(true),
+                        this::call,
+                        after,
+                        after::instances));
+        assertEquals(
+                List.of(Stage.READY, Stage.DRAINING),
+                after.instances().stream().map(r -> r.stage).toList());
     }
 
     @Test
@@ -312,9 +377,15 @@
     void anotherNodeNamesThePrimary() {
         StoredState state = replica.state() == Replica.State.PRIMARY ? null : new StoredState();
         assertNull(state);
-        Heartbeat other = Heartbeat.of(yewyoke.message.View.of(50, Member.of("b:1", "b:2", "first-b:1"),
-                replica.view().group, replica.view().group, replica.view().group));
-        plane.receive(other, answer -> { });
+        Heartbeat other =
+                Heartbeat.of(
+                        yewyoke.message.View.of(
+                                50,
+                                Member.of("b:1", "b:2", "first-b:1"),
+                                replica.view().group,
+                                replica.view().group,
+                                replica.view().group));
+        plane.receive(other, answer -> {});
         clock.run(20);
         Call put = order("PUT", "0", "{'generation':3}");
         assertEquals(307, put.status);
--- a/src/test/java/yewyoke/control/GenerationStoreTest.java
+++ b/src/test/java/yewyoke/control/GenerationStoreTest.java
@@ -29,7 +29,8 @@
         new SplittableRandom(promised).nextBytes(document);
         Member member = Member.of("a:1", "a:2", "s");
         View view = View.of(promised, member, List.of(member), List.of(member), List.of(member));
-        return StoredState.of("s", promised, view, Snapshot.of(document, promised, List.of("o1", "o2")));
+        return StoredState.of(
+                "s", promised, view, Snapshot.of(document, promised, List.of("o1", "o2")));
     }
 
     private void assertLoads(long promised, int size) {
--- a/src/test/java/yewyoke/control/HintedHandoffTest.java
+++ b/src/test/java/yewyoke/control/HintedHandoffTest.java
@@ -23,12 +23,15 @@
         ManualScheduler clock = new ManualScheduler();
         boolean[] back = {false};
         List<InstanceRecord> taken = new ArrayList<>();
-        HintedHandoff handoff = new HintedHandoff(clock, (to, message, timeout, answer) -> {
-            if (back[0]) {
-                taken.addAll(((ShareInstances) message).instances);
-            }
-            answer.accept(back[0] ? Acknowledge.of(true, 1, null) : null);
-        });
+        HintedHandoff handoff =
+                new HintedHandoff(
+                        clock,
+                        (to, message, timeout, answer) -> {
+                            if (back[0]) {
+                                taken.addAll(((ShareInstances) message).instances);
+                            }
+                            answer.accept(back[0] ? Acknowledge.of(true, 1, null) : null);
+                        });
         Member away = Member.of("b:1", "b:2", "store");
         handoff.keep(away, record("i", Stage.READY, 1), 1);
         handoff.keep(away, record("i", Stage.DRAINING, 2), 1);
@@ -38,6 +41,7 @@
         back[0] = true;
         clock.run(1_000);
         assertEquals(0, handoff.waiting());
-        assertEquals(List.of(Stage.DRAINING, Stage.GONE), taken.stream().map(r -> r.stage).toList());
+        assertEquals(
+                List.of(Stage.DRAINING, Stage.GONE), taken.stream().map(r -> r.stage).toList());
     }
 }
--- a/src/test/java/yewyoke/control/QuotaBankTest.java
+++ b/src/test/java/yewyoke/control/QuotaBankTest.java
@@ -13,8 +13,14 @@
 /** The quotas of all balancers together. */
 class QuotaBankTest {
     private static Configuration configuration(int rate, int burst) {
-        String text = "{\"generation\":1,\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"],\"unit\":\"tokens\","
-                + "\"rate_per_s\":" + rate + ",\"burst\":" + burst + "},{\"name\":\"free\",\"api_keys\":[\"f\"]}]}";
+        String text =
+                "{\"generation\":1,\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"],"
+                        + "\"unit\":\"tokens\","
+                        + "\"rate_per_s\":"
+                        + rate
+                        + ",\"burst\":"
+                        + burst
+                        + "},{\"name\":\"free\",\"api_keys\":[\"f\"]}]}";
         return Configuration.read(Json.readObject(text.getBytes(StandardCharsets.UTF_8)));
     }
 
--- a/src/test/java/yewyoke/control/RefusalsApprovalTest.java
+++ b/src/test/java/yewyoke/control/RefusalsApprovalTest.java
@@ -9,20 +9,33 @@
 
 /** The words in which operators are told what is wrong with a configuration. */
 class RefusalsApprovalTest {
-    private static final List<String> DOCUMENTS = List.of("{'generation':8,'routes':[", "[1]", "{'generation':8} x",
-            "{'routes':[]}", "{'generation':'8'}", "{'generation':8,'routes':{}}", "{'generation':8,'routes':[7]}",
-            "{'generation':8,'routes':[{'name':'r'}]}", "{'generation':7}",
-            "{'generation':8,'routes':[{'name':'r','hostname':'h','path_prefix':'/','backend':'x','timeout_ms':1}]}",
-            "{'generation':8,'services':[{'name':'s'}],'routes':[{'name':'r','hostname':'h','path_prefix':'/',"
-                + "'backend':'s','timeout_ms':0}]}",
-            "{'generation':8,'services':[{'name':'s'}],'routes':[{'name':'r','hostname':'h','path_prefix':'/',"
-                + "'traffic_split':[{'backend':'s','weight':0}],'timeout_ms':5}]}",
-            "{'generation':8,'tenants':[{'name':'a','api_keys':['k']},{'name':'b','api_keys':['k']}]}");
+    private static final List<String> DOCUMENTS =
+            List.of(
+                    "{'generation':8,'routes':[",
+                    "[1]",
+                    "{'generation':8} x",
+                    "{'routes':[]}",
+                    "{'generation':'8'}",
+                    "{'generation':8,'routes':{}}",
+                    "{'generation':8,'routes':[7]}",
+                    "{'generation':8,'routes':[{'name':'r'}]}",
+                    "{'generation':7}",
+                    "{'generation':8,'routes':[{'name':'r','hostname':'h','path_prefix':'/',"
+                            + "'backend':'x','timeout_ms':1}]}",
+                    "{'generation':8,'services':[{'name':'s'}],'routes':[{'name':'r',"
+                            + "'hostname':'h','path_prefix':'/',"
+                            + "'backend':'s','timeout_ms':0}]}",
+                    "{'generation':8,'services':[{'name':'s'}],'routes':[{'name':'r',"
+                            + "'hostname':'h','path_prefix':'/',"
+                            + "'traffic_split':[{'backend':'s','weight':0}],'timeout_ms':5}]}",
+                    "{'generation':8,'tenants':[{'name':'a','api_keys':['k']},{'name':'b',"
+                            + "'api_keys':['k']}]}");
 
     @Test
     void refusalsNameTheirPlace() {
         StringBuilder text = new StringBuilder();
-        ConfigurationDocument current = ConfigurationDocument.stored("{\"generation\":7}".getBytes(), 7);
+        ConfigurationDocument current =
+                ConfigurationDocument.stored("{\"generation\":7}".getBytes(), 7);
         for (String document : DOCUMENTS) {
             String told = "taken";
             try {
--- a/src/test/java/yewyoke/dataplane/ControlPollerTest.java
+++ b/src/test/java/yewyoke/dataplane/ControlPollerTest.java
@@ -28,14 +28,27 @@
 
     @BeforeEach
     void start() {
-        router = new Router(clock, new ScriptedLinks(), new RetryBudget(0.2, 10), (ask, timeout, to) -> to.accept(null),
-                1);
-        MembershipAgent agent = new MembershipAgent(clock, (to, message, timeout, back) -> { }, "e");
-        poller = new ControlPoller(clock, (to, message, timeout, back) -> {
-            asked.add(to);
-            polls.add((Poll) message);
-            answer = back;
-        }, router, "e", "e:1", agent, () -> List.of("a:1", "b:1", "c:1"));
+        router =
+                new Router(
+                        clock,
+                        new ScriptedLinks(),
+                        new RetryBudget(0.2, 10),
+                        (ask, timeout, to) -> to.accept(null),
+                        1);
+        MembershipAgent agent = new MembershipAgent(clock, (to, message, timeout, back) -> {}, "e");
+        poller =
+                new ControlPoller(
+                        clock,
+                        (to, message, timeout, back) -> {
+                            asked.add(to);
+                            polls.add((Poll) message);
+                            answer = back;
+                        },
+                        router,
+                        "e",
+                        "e:1",
+                        agent,
+                        () -> List.of("a:1", "b:1", "c:1"));
         poller.start();
     }
 
@@ -44,8 +57,12 @@
         reply.valid = true;
         reply.epoch = epoch;
         reply.generation = generation;
-        reply.document = generation == 0 ? new byte[0]
-                : Compression.deflate(("{\"generation\":" + generation + "}").getBytes(StandardCharsets.UTF_8));
+        reply.document =
+                generation == 0
+                        ? new byte[0]
+                        : Compression.deflate(
+                                ("{\"generation\":" + generation + "}")
+                                        .getBytes(StandardCharsets.UTF_8));
         reply.primary = "a:1";
         reply.members = List.of("a:1", "b:1", "c:1");
         return reply;
--- a/src/test/java/yewyoke/dataplane/ExchangeTest.java
+++ b/src/test/java/yewyoke/dataplane/ExchangeTest.java
@@ -21,21 +21,31 @@
 
 /** Requests from arrival to final answer, with scripted upstreams on a manual clock. */
 class ExchangeTest {
-    private static final String DOCUMENT = ("{'generation':7,'routes':["
-            + "{'name':'s','hostname':'h.example','path_prefix':'/s/','type':'streaming','timeout_ms':8000,"
-            + "'target_latency_ms':600,'priority':1,'backend':'m','retries':2,'resumable':true,"
-            + "'gap_aim_ms':400},"
-            + "{'name':'n','hostname':'h.example','path_prefix':'/n/','type':'streaming','timeout_ms':5000,"
-            + "'target_latency_ms':600,'backend':'m','retries':1,'resumable':false},"
-            + "{'name':'u','hostname':'h.example','path_prefix':'/u/','type':'non_idempotent',"
-            + "'timeout_ms':1000,'backend':'p','retries':2},"
-            + "{'name':'i','hostname':'h.example','path_prefix':'/i/','type':'idempotent','timeout_ms':1000,"
-            + "'backend':'p','retries':2},"
-            + "{'name':'o','hostname':'h.example','path_prefix':'/o/','type':'idempotent','timeout_ms':1000,"
-            + "'backend':'p','retries':2,'public':true}],"
-            + "'services':[{'name':'m','engine':{'capacity':64,'kv_tokens':500000,'stride':5}},{'name':'p'}],"
-            + "'tenants':[{'name':'t1','api_keys':['k1'],'priority':1,'unit':'tokens','plain_tokens':200,"
-            + "'rate_per_s':1000,'burst':1000}]}").replace('\'', '"');
+    private static final String DOCUMENT =
+            ("{'generation':7,'routes':["
+                            + "{'name':'s','hostname':'h.example','path_prefix':'/s/',"
+                            + "'type':'streaming','timeout_ms':8000,"
+                            + "'target_latency_ms':600,'priority':1,'backend':'m','retries':2,"
+                            + "'resumable':true,"
+                            + "'gap_aim_ms':400},"
+                            + "{'name':'n','hostname':'h.example','path_prefix':'/n/',"
+                            + "'type':'streaming','timeout_ms':5000,"
+                            + "'target_latency_ms':600,'backend':'m','retries':1,'resumable':false},"
+                            + "{'name':'u','hostname':'h.example',"
+                            + "'path_prefix':'/u/','type':'non_idempotent',"
+                            + "'timeout_ms':1000,'backend':'p','retries':2},"
+                            + "{'name':'i','hostname':'h.example','path_prefix':'/i/',"
+                            + "'type':'idempotent','timeout_ms':1000,"
+                            + "'backend':'p','retries':2},"
+                            + "{'name':'o','hostname':'h.example','path_prefix':'/o/',"
+                            + "'type':'idempotent','timeout_ms':1000,"
+                            + "'backend':'p','retries':2,'public':true}],"
+                            + "'services':[{'name':'m','engine':{'capacity':64,'kv_tokens':500000,"
+                            + "'stride':5}},{'name':'p'}],"
+                            + "'tenants':[{'name':'t1','api_keys':['k1'],'priority':1,'unit':'tokens',"
+                            + "'plain_tokens':200,"
+                            + "'rate_per_s':1000,'burst':1000}]}")
+                    .replace('\'', '"');
 
     private final ManualScheduler clock = new ManualScheduler();
     private final ScriptedLinks links = new ScriptedLinks();
@@ -44,8 +54,13 @@
 
     @BeforeEach
     void start() {
-        router = new Router(clock, links, new RetryBudget(0.2, 100), (ask, timeout, answer) -> answer.accept(grant),
-                1);
+        router =
+                new Router(
+                        clock,
+                        links,
+                        new RetryBudget(0.2, 100),
+                        (ask, timeout, answer) -> answer.accept(grant),
+                        1);
         router.use(Configuration.read(Json.readObject(DOCUMENT.getBytes(StandardCharsets.UTF_8))));
         List<InstanceRecord> records = new ArrayList<>();
         for (String service : new String[] {"m", "p"}) {
@@ -69,8 +84,18 @@
 
     @Test
     void theRequestIsSentOnWithWhatTheUpstreamHasToKnow() {
-        request("/s/1", Names.TENANT, "forged", "Connection", "X-Hop", "X-Hop", "1", "X-Other", "2",
-                Names.LAST_EVENT, "12");
+        request(
+                "/s/1",
+                Names.TENANT,
+                "forged",
+                "Connection",
+                "X-Hop",
+                "X-Hop",
+                "1",
+                "X-Other",
+                "2",
+                Names.LAST_EVENT,
+                "12");
         Sent sent = links.last();
         assertEquals("/s/1", sent.head.target());
         assertEquals("t1", sent.header(Names.TENANT));
@@ -135,7 +160,9 @@
         second.event(2);
         second.event(3);
         second.end();
-        assertEquals("id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\n", client.body.toString());
+        assertEquals(
+                "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\n",
+                client.body.toString());
         assertEquals("sig", client.headers.get(Names.SIGNATURE));
         assertEquals(1, client.answers);
         assertTrue(client.ended);
@@ -211,8 +238,9 @@
     void anAnswerWithoutSignatureIsNoSuccess() {
         ScriptedClient client = request("/u/1");
         Sent sent = links.last();
-        sent.user.head(new yewyoke.io.ResponseHead(200,
-                new yewyoke.io.Headers().add(Names.ATTEMPT, "a1"), true));
+        sent.user.head(
+                new yewyoke.io.ResponseHead(
+                        200, new yewyoke.io.Headers().add(Names.ATTEMPT, "a1"), true));
         assertEquals(502, client.status);
     }
 
@@ -284,7 +312,10 @@
 
     @Test
     void aDrainingUpstreamGetsNothingMoreAndNeverComesBack() {
-        router.directory().take(List.of(record("p1", "p", Stage.DRAINING), record("p2", "p", Stage.GONE)), false);
+        router.directory()
+                .take(
+                        List.of(record("p1", "p", Stage.DRAINING), record("p2", "p", Stage.GONE)),
+                        false);
         router.directory().take(List.of(record("p1", "p", Stage.READY)), false);
         for (int i = 0; i < 5; i++) {
             request("/u/" + i);
@@ -317,7 +348,8 @@
     void whatCannotBeginInTimeIsRefusedAtOnce() {
         int refused = 0;
         for (int i = 0; i < 40; i++) {
-            ScriptedClient client = request("/s/" + i, Names.PREFIX, "c" + i + ":20000", Names.USAGE, "20000,10");
+            ScriptedClient client =
+                    request("/s/" + i, Names.PREFIX, "c" + i + ":20000", Names.USAGE, "20000,10");
             refused += client.status == 503 ? 1 : 0;
         }
         assertTrue(refused > 0 && refused < 40, "refused " + refused);
--- a/src/test/java/yewyoke/dataplane/ScriptedClient.java
+++ b/src/test/java/yewyoke/dataplane/ScriptedClient.java
@@ -17,27 +17,35 @@
     int answers;
 
     ScriptedClient(String path, String... fields) {
-        Headers sent = new Headers().add("Host", "h.example").add(Names.ATTEMPT, "a1")
-                .add(Names.AUTHORIZATION, "Token k1").add(Names.DEADLINE, "8000");
+        Headers sent =
+                new Headers()
+                        .add("Host", "h.example")
+                        .add(Names.ATTEMPT, "a1")
+                        .add(Names.AUTHORIZATION, "Token k1")
+                        .add(Names.DEADLINE, "8000");
         for (int i = 0; i < fields.length; i += 2) {
             sent.set(fields[i], fields[i + 1]);
         }
         head = new RequestHead("POST", path, sent);
     }
 
-    @Override public RequestHead head() {
+    @Override
+    public RequestHead head() {
         return head;
     }
 
-    @Override public byte[] body() {
+    @Override
+    public byte[] body() {
         return new byte[] {'b'};
     }
 
-    @Override public String caller() {
+    @Override
+    public String caller() {
         return "client";
     }
 
-    @Override public void respond(int code, Headers answer, byte[] bytes) {
+    @Override
+    public void respond(int code, Headers answer, byte[] bytes) {
         answers++;
         status = code;
         headers = answer;
@@ -45,29 +53,35 @@
         ended = true;
     }
 
-    @Override public void begin(int code, Headers answer) {
+    @Override
+    public void begin(int code, Headers answer) {
         answers++;
         status = code;
         headers = answer;
     }
 
-    @Override public void write(byte[] bytes, int offset, int length) {
+    @Override
+    public void write(byte[] bytes, int offset, int length) {
         body.append(new String(bytes, offset, length));
     }
 
-    @Override public void end() {
+    @Override
+    public void end() {
         ended = true;
     }
 
-    @Override public void abort() {
+    @Override
+    public void abort() {
         aborted = true;
     }
 
-    @Override public boolean open() {
+    @Override
+    public boolean open() {
         return open;
     }
 
-    @Override public void onGone(Runnable task) {
+    @Override
+    public void onGone(Runnable task) {
         onGone = task;
     }
 
--- a/src/test/java/yewyoke/dataplane/ScriptedLinks.java
+++ b/src/test/java/yewyoke/dataplane/ScriptedLinks.java
@@ -24,16 +24,19 @@
             this.user = user;
         }
 
-        @Override public boolean ready() {
+        @Override
+        public boolean ready() {
             return true;
         }
 
-        @Override public void send(RequestHead request, byte[] body) {
+        @Override
+        public void send(RequestHead request, byte[] body) {
             head = request;
             sent.add(this);
         }
 
-        @Override public void close() {
+        @Override
+        public void close() {
             closed = true;
         }
 
@@ -43,7 +46,10 @@
 
         /** The head of an answer that carries the request's id and a signature. */
         void head(int status, String... fields) {
-            Headers headers = new Headers().add(Names.ATTEMPT, header(Names.ATTEMPT)).add(Names.SIGNATURE, "sig");
+            Headers headers =
+                    new Headers()
+                            .add(Names.ATTEMPT, header(Names.ATTEMPT))
+                            .add(Names.SIGNATURE, "sig");
             for (int i = 0; i < fields.length; i += 2) {
                 headers.set(fields[i], fields[i + 1]);
             }
@@ -71,7 +77,8 @@
         }
     }
 
-    @Override public Link use(Upstream upstream, User user, boolean onlyFresh) {
+    @Override
+    public Link use(Upstream upstream, User user, boolean onlyFresh) {
         Sent link = new Sent(upstream, user);
         if (refuses) {
             user.refused();
@@ -81,15 +88,18 @@
         return link;
     }
 
-    @Override public int openTo(Upstream upstream) {
+    @Override
+    public int openTo(Upstream upstream) {
         return 0;
     }
 
-    @Override public int idleTo(Upstream upstream) {
+    @Override
+    public int idleTo(Upstream upstream) {
         return 0;
     }
 
-    @Override public void closeIdle() {
+    @Override
+    public void closeIdle() {
         // nothing rests here
     }
 
--- a/src/test/java/yewyoke/io/HttpTest.java
+++ b/src/test/java/yewyoke/io/HttpTest.java
@@ -73,8 +73,10 @@
             assertTrue(first.startsWith("HTTP/1.1 200 OK\r\n"), first);
             assertTrue(first.contains("X-Target: /a/b?q=1\r\n"), first);
             assertTrue(first.contains("Content-Length: 3\r\n"), first);
-            send(socket, "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + "2\r\nde\r\n1\r\nf\r\n0\r\n\r\n");
+            send(
+                    socket,
+                    "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + "2\r\nde\r\n1\r\nf\r\n0\r\n\r\n");
             assertTrue(readUntil(socket, "def").contains("X-Target: /c\r\n"));
         }
     }
@@ -86,10 +88,11 @@
         try (Socket socket = client()) {
             send(socket, "GET /s HTTP/1.1\r\nHost: h\r\n\r\n");
             ServerExchange exchange = exchanges.poll(5, TimeUnit.SECONDS);
-            loop.execute(() -> {
-                exchange.begin(200, new Headers().add("Content-Type", "text/event-stream"));
-                exchange.write("one".getBytes(StandardCharsets.US_ASCII), 0, 3);
-            });
+            loop.execute(
+                    () -> {
+                        exchange.begin(200, new Headers().add("Content-Type", "text/event-stream"));
+                        exchange.write("one".getBytes(StandardCharsets.US_ASCII), 0, 3);
+                    });
             String head = readUntil(socket, "one");
             assertTrue(head.contains("Transfer-Encoding: chunked"), head);
             assertTrue(head.contains("Content-Type: text/event-stream"), head);
@@ -104,11 +107,12 @@
 
     @Test
     void anAbortedStreamDoesNotLookWhole() throws Exception {
-        serve(e -> {
-            e.begin(200, new Headers());
-            e.write("one".getBytes(StandardCharsets.US_ASCII), 0, 3);
-            loop.schedule(50, e::abort);
-        });
+        serve(
+                e -> {
+                    e.begin(200, new Headers());
+                    e.write("one".getBytes(StandardCharsets.US_ASCII), 0, 3);
+                    loop.schedule(50, e::abort);
+                });
         try (Socket socket = client()) {
             send(socket, "GET /s HTTP/1.1\r\nHost: h\r\n\r\n");
             String all;
@@ -126,7 +130,7 @@
         serve(e -> e.onGone(() -> heard.add("gone")));
         Socket socket = client();
         send(socket, "GET /s HTTP/1.1\r\nHost: h\r\n\r\n");
-        loop.execute(() -> { });
+        loop.execute(() -> {});
         socket.close();
         assertEquals("gone", heard.poll(5, TimeUnit.SECONDS));
     }
@@ -148,23 +152,28 @@
 
     private HttpConnection.Listener recorder(Consumer<HttpConnection.Listener> whenConnected) {
         return new HttpConnection.Listener() {
-            @Override public void connected() {
+            @Override
+            public void connected() {
                 whenConnected.accept(this);
             }
 
-            @Override public void head(ResponseHead head) {
+            @Override
+            public void head(ResponseHead head) {
                 heard.add("head " + head.status() + " " + head.headers().get("X-Name"));
             }
 
-            @Override public void body(byte[] bytes) {
+            @Override
+            public void body(byte[] bytes) {
                 heard.add("body " + new String(bytes, StandardCharsets.ISO_8859_1));
             }
 
-            @Override public void end(boolean reusable) {
+            @Override
+            public void end(boolean reusable) {
                 heard.add("end " + reusable);
             }
 
-            @Override public void closed(boolean everConnected) {
+            @Override
+            public void closed(boolean everConnected) {
                 heard.add("closed " + everConnected);
             }
         };
@@ -172,7 +181,9 @@
 
     private HttpConnection ask(int to, RequestHead head, byte[] body) {
         HttpConnection[] made = new HttpConnection[1];
-        made[0] = HttpConnection.connect(loop, "127.0.0.1", to, recorder(l -> made[0].send(head, body)));
+        made[0] =
+                HttpConnection.connect(
+                        loop, "127.0.0.1", to, recorder(l -> made[0].send(head, body)));
         return made[0];
     }
 
@@ -183,18 +194,29 @@
     @Test
     void aRequestIsSentAndItsAnswerHeard() throws Exception {
         try (ServerSocket upstream = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
-            HttpConnection connection = ask(upstream.getLocalPort(), new RequestHead("POST", "/p?x=1",
-                    new Headers().add("Host", "h").add("X-A", "1")), "abc".getBytes(StandardCharsets.US_ASCII));
+            HttpConnection connection =
+                    ask(
+                            upstream.getLocalPort(),
+                            new RequestHead(
+                                    "POST",
+                                    "/p?x=1",
+                                    new Headers().add("Host", "h").add("X-A", "1")),
+                            "abc".getBytes(StandardCharsets.US_ASCII));
             try (Socket peer = upstream.accept()) {
                 String request = readUntil(peer, "abc");
                 assertTrue(request.startsWith("POST /p?x=1 HTTP/1.1\r\n"), request);
-                assertTrue(request.contains("X-A: 1\r\n") && request.contains("Host: h\r\n"), request);
+                assertTrue(
+                        request.contains("X-A: 1\r\n") && request.contains("Host: h\r\n"), request);
                 send(peer, "HTTP/1.1 200 OK\r\nX-Name: v\r\nContent-Length: 2\r\n\r\nok");
                 assertEquals("head 200 v", next());
                 assertEquals("body ok", next());
                 assertEquals("end true", next());
-                loop.execute(() -> connection.send(new RequestHead("GET", "/q", new Headers().add("Host", "h")),
-                        NONE));
+                loop.execute(
+                        () ->
+                                connection.send(
+                                        new RequestHead(
+                                                "GET", "/q", new Headers().add("Host", "h")),
+                                        NONE));
                 readUntil(peer, "\r\n\r\n");
                 send(peer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
                 assertEquals("head 200 null", next());
@@ -209,12 +231,21 @@
 
     @Test
     void anAnswerCutOffIsNoEnd() throws Exception {
-        for (String cut : new String[] {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
-            "HTTP/1.1 200 OK\r\n\r\nabc", "nonsense that is no HTTP\r\n\r\n", ""}) {
+        for (String cut :
+                new String[] {
+                    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                    "HTTP/1.1 200 OK\r\n\r\nabc",
+                    "nonsense that is no HTTP\r\n\r\n",
+                    ""
+                }) {
             heard.clear();
-            try (ServerSocket upstream = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
-                ask(upstream.getLocalPort(), new RequestHead("GET", "/", new Headers().add("Host", "h")), NONE);
+            try (ServerSocket upstream =
+                    new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+                ask(
+                        upstream.getLocalPort(),
+                        new RequestHead("GET", "/", new Headers().add("Host", "h")),
+                        NONE);
                 try (Socket peer = upstream.accept()) {
                     readUntil(peer, "\r\n\r\n");
                     send(peer, cut);
--- a/src/test/java/yewyoke/io/ResultCodeTest.java
+++ b/src/test/java/yewyoke/io/ResultCodeTest.java
@@ -14,8 +14,14 @@
     @Test
     void theTableHasEachCode() throws Exception {
         Pattern row = Pattern.compile("\\| (\\d+) \\| ([A-Z_]+) \\| [^|]+ \\| [^|]+ \\|");
-        List<String> table = Files.readAllLines(Path.of("docs/errors.md")).stream().map(row::matcher)
-                .filter(m -> m.matches()).map(m -> m.group(1) + " " + m.group(2)).toList();
-        assertEquals(Arrays.stream(ResultCode.values()).map(c -> c.number() + " " + c.name()).toList(), table);
+        List<String> table =
+                Files.readAllLines(Path.of("docs/errors.md")).stream()
+                        .map(row::matcher)
+                        .filter(m -> m.matches())
+                        .map(m -> m.group(1) + " " + m.group(2))
+                        .toList();
+        assertEquals(
+                Arrays.stream(ResultCode.values()).map(c -> c.number() + " " + c.name()).toList(),
+                table);
     }
 }
--- a/src/test/java/yewyoke/membership/RingTest.java
+++ b/src/test/java/yewyoke/membership/RingTest.java
@@ -32,9 +32,12 @@
         Collections.shuffle(shuffled, new Random(3));
         Map<String, Integer> watched = new HashMap<>();
         for (FleetMember member : members) {
-            List<String> monitors = new Ring(members).monitorsOf(member.name, 2).stream().map(m -> m.name).toList();
-            assertEquals(monitors,
-                    new Ring(shuffled).monitorsOf(member.name, 2).stream().map(m -> m.name).toList());
+            List<String> monitors =
+                    new Ring(members).monitorsOf(member.name, 2).stream().map(m -> m.name).toList();
+            assertEquals(
+                    monitors,
+                    new Ring(shuffled)
+                            .monitorsOf(member.name, 2).stream().map(m -> m.name).toList());
             assertEquals(2, monitors.size());
             assertFalse(monitors.contains(member.name));
             monitors.forEach(m -> watched.merge(m, 1, Integer::sum));
@@ -53,7 +56,9 @@
     void heartbeatsGoToTheMonitorsAndSilenceIsNoticed() {
         ManualScheduler clock = new ManualScheduler();
         List<String> called = new ArrayList<>();
-        MembershipAgent agent = new MembershipAgent(clock, (to, message, timeout, answer) -> called.add(to), "edge-0");
+        MembershipAgent agent =
+                new MembershipAgent(
+                        clock, (to, message, timeout, answer) -> called.add(to), "edge-0");
         agent.members(members(3));
         agent.start();
         clock.run(600);
--- a/src/test/java/yewyoke/process/NodeSettingsTest.java
+++ b/src/test/java/yewyoke/process/NodeSettingsTest.java
@@ -13,7 +13,8 @@
 
 /** The settings file, and what is told when it can't be used. */
 class NodeSettingsTest {
-    private static final String WHOLE = """
+    private static final String WHOLE =
+            """
             node_name = "core-1"
             role = "control"
             ip = "10.1.0.6"
@@ -55,14 +56,20 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"node_name = \"core-1\"|node_name = 3|SETTINGS_VALUE|node_name",
-        "port_range = [7500,7515]|port_range = []|SETTINGS_VALUE|port_range",
-        "heartbeat_ms = 1200|heartbeat_ms = 0|SETTINGS_VALUE|heartbeat_ms",
-        "control = \"10.1.0.6:8367\"|control = \"10.1.0.6\"|SETTINGS_VALUE|listen.control",
-        "role = \"control\"|role = |SETTINGS_SYNTAX|line 2"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "node_name = \"core-1\"|node_name = 3|SETTINGS_VALUE|node_name",
+                "port_range = [7500,7515]|port_range = []|SETTINGS_VALUE|port_range",
+                "heartbeat_ms = 1200|heartbeat_ms = 0|SETTINGS_VALUE|heartbeat_ms",
+                "control = \"10.1.0.6:8367\"|control = \"10.1.0.6\"|SETTINGS_VALUE|listen.control",
+                "role = \"control\"|role = |SETTINGS_SYNTAX|line 2"
+            })
     void aFaultIsToldByNumberAndPlace(String good, String bad, ResultCode code, String place) {
         SettingsException refused =
-                assertThrows(SettingsException.class, () -> NodeSettings.parse(WHOLE.replace(good, bad)));
+                assertThrows(
+                        SettingsException.class,
+                        () -> NodeSettings.parse(WHOLE.replace(good, bad)));
         assertEquals(code, refused.code());
         assertTrue(refused.getMessage().contains(place), refused.getMessage());
     }
@@ -70,7 +77,8 @@
     @Test
     void aMissingFileIsTold() {
         SettingsException refused =
-                assertThrows(SettingsException.class, () -> NodeSettings.read(Path.of("no-such-file")));
+                assertThrows(
+                        SettingsException.class, () -> NodeSettings.read(Path.of("no-such-file")));
         assertEquals(ResultCode.NO_SETTINGS, refused.code());
     }
 }
--- a/src/test/java/yewyoke/replication/ManualScheduler.java
+++ b/src/test/java/yewyoke/replication/ManualScheduler.java
@@ -8,11 +8,13 @@
     private final TimerQueue timers = new TimerQueue();
     private long now = 1_000_000;
 
-    @Override public long now() {
+    @Override
+    public long now() {
         return now;
     }
 
-    @Override public Timer schedule(long delay, Runnable task) {
+    @Override
+    public Timer schedule(long delay, Runnable task) {
         return timers.add(now + Math.max(0, delay), task);
     }
 
--- a/src/test/java/yewyoke/replication/ReplicaExplorationTest.java
+++ b/src/test/java/yewyoke/replication/ReplicaExplorationTest.java
@@ -9,8 +9,8 @@
 import yewyoke.replication.VirtualCluster.Node;
 
 /**
- * Drawn schedules of kills, wipes, freezes, cuts and disk troubles. What was acknowledged is never lost, one
- * node leads each epoch, and a primary leads again once the troubles end.
+ * Drawn schedules of kills, wipes, freezes, cuts and disk troubles. What was acknowledged is never
+ * lost, one node leads each epoch, and a primary leads again once the troubles end.
  */
 class ReplicaExplorationTest {
     private static final int STEPS = 25;
--- a/src/test/java/yewyoke/replication/ReplicaTest.java
+++ b/src/test/java/yewyoke/replication/ReplicaTest.java
@@ -33,8 +33,10 @@
         VirtualCluster cluster = started(3, 1);
         assertEquals("n0:1", cluster.primary().address);
         acknowledge(cluster);
-        long copies = cluster.nodes.values().stream()
-                .filter(n -> n.replica.snapshot().orders.containsAll(cluster.acknowledged)).count();
+        long copies =
+                cluster.nodes.values().stream()
+                        .filter(n -> n.replica.snapshot().orders.containsAll(cluster.acknowledged))
+                        .count();
         assertEquals(2, copies);
     }
 
@@ -57,8 +59,9 @@
         Node backup = cluster.nodes.get(cluster.primary().replica.view().replicas.get(1).address);
         backup.kill();
         acknowledge(cluster);
-        assertTrue(cluster.primary().replica.view().replicas.stream()
-                .noneMatch(m -> m.address.equals(backup.address)));
+        assertTrue(
+                cluster.primary().replica.view().replicas.stream()
+                        .noneMatch(m -> m.address.equals(backup.address)));
         Node primary = cluster.primary();
         primary.kill();
         backup.start(false);
@@ -156,7 +159,8 @@
         VirtualCluster cluster = started(3, 1);
         acknowledge(cluster);
         Node witness = cluster.node(2);
-        witness.replica.receive(yewyoke.message.Prepare.of(40, cluster.node(1).replica.self(), false), a -> { });
+        witness.replica.receive(
+                yewyoke.message.Prepare.of(40, cluster.node(1).replica.self(), false), a -> {});
         cluster.clock.run(100);
         cluster.node(0).kill();
         cluster.clock.run(4_000);
--- a/src/test/java/yewyoke/replication/VirtualCluster.java
+++ b/src/test/java/yewyoke/replication/VirtualCluster.java
@@ -17,7 +17,10 @@
 import yewyoke.message.MessageCodec;
 import yewyoke.message.StoredState;
 
-/** Control nodes on one manual clock, with disks, links and a client that remembers what was acknowledged. */
+/**
+ * Control nodes on one manual clock, with disks, links and a client that remembers what was
+ * acknowledged.
+ */
 final class VirtualCluster {
     final ManualScheduler clock = new ManualScheduler();
     final SplittableRandom random;
@@ -77,9 +80,18 @@
             int mine = incarnation;
             StoredState stored = disk == null ? null : (StoredState) MessageCodec.decode(disk);
             ReplicaOptions options =
-                    new ReplicaOptions(Member.of(address, control, ""), tolerated, bootstrap, seeds);
-            replica = new Replica(options, stored, "store-" + stores++, new Timers(this, mine), this, this, this,
-                    List::of);
+                    new ReplicaOptions(
+                            Member.of(address, control, ""), tolerated, bootstrap, seeds);
+            replica =
+                    new Replica(
+                            options,
+                            stored,
+                            "store-" + stores++,
+                            new Timers(this, mine),
+                            this,
+                            this,
+                            this,
+                            List::of);
             replica.start();
         }
 
@@ -93,17 +105,23 @@
             disk = null;
         }
 
-        @Override public void save(StoredState state, Consumer<Boolean> done) {
+        @Override
+        public void save(StoredState state, Consumer<Boolean> done) {
             byte[] bytes = MessageCodec.encode(state);
             int mine = incarnation;
             // One save after the other, as the disk's thread does them.
             savedBy = Math.max(savedBy, clock.now()) + syncMs + random.nextInt(3);
-            clock.schedule(savedBy - clock.now(), () -> after(mine, () -> {
-                if (!diskFull) {
-                    disk = bytes;
-                }
-                done.accept(!diskFull);
-            }));
+            clock.schedule(
+                    savedBy - clock.now(),
+                    () ->
+                            after(
+                                    mine,
+                                    () -> {
+                                        if (!diskFull) {
+                                            disk = bytes;
+                                        }
+                                        done.accept(!diskFull);
+                                    }));
         }
 
         private void after(int mine, Runnable task) {
@@ -117,41 +135,62 @@
             task.run();
         }
 
-        @Override public void call(String to, Message message, long timeoutMs, Consumer<Message> answer) {
+        @Override
+        public void call(String to, Message message, long timeoutMs, Consumer<Message> answer) {
             byte[] bytes = MessageCodec.encode(message);
             int mine = incarnation;
             boolean[] told = {false};
-            Consumer<Message> once = reply -> after(mine, () -> {
-                if (!told[0]) {
-                    told[0] = true;
-                    answer.accept(reply);
-                }
-            });
+            Consumer<Message> once =
+                    reply ->
+                            after(
+                                    mine,
+                                    () -> {
+                                        if (!told[0]) {
+                                            told[0] = true;
+                                            answer.accept(reply);
+                                        }
+                                    });
             clock.schedule(timeoutMs, () -> once.accept(null));
-            carry(address, to, () -> {
-                Node peer = nodes.get(to);
-                if (peer == null || !peer.up) {
-                    carry(to, address, () -> once.accept(null));
-                    return;
-                }
-                int theirs = peer.incarnation;
-                peer.after(theirs, () -> peer.replica.receive(MessageCodec.decode(bytes), reply -> {
-                    if (reply != null) {
-                        byte[] back = MessageCodec.encode(reply);
-                        carry(to, address, () -> once.accept(MessageCodec.decode(back)));
-                    }
-                }));
-            });
+            carry(
+                    address,
+                    to,
+                    () -> {
+                        Node peer = nodes.get(to);
+                        if (peer == null || !peer.up) {
+                            carry(to, address, () -> once.accept(null));
+                            return;
+                        }
+                        int theirs = peer.incarnation;
+                        peer.after(
+                                theirs,
+                                () ->
+                                        peer.replica.receive(
+                                                MessageCodec.decode(bytes),
+                                                reply -> {
+                                                    if (reply != null) {
+                                                        byte[] back = MessageCodec.encode(reply);
+                                                        carry(
+                                                                to,
+                                                                address,
+                                                                () ->
+                                                                        once.accept(
+                                                                                MessageCodec.decode(
+                                                                                        back)));
+                                                    }
+                                                }));
+                    });
         }
 
-        @Override public void becamePrimary(Collection<InstanceRecord> instances) {
+        @Override
+        public void becamePrimary(Collection<InstanceRecord> instances) {
             String before = primaryOfEpoch.putIfAbsent(replica.view().epoch, address);
             if (before != null && !before.equals(address)) {
                 faults.add("epoch " + replica.view().epoch + " has " + before + " and " + address);
             }
         }
 
-        @Override public void lostPrimacy() {
+        @Override
+        public void lostPrimacy() {
             // the client asks for the state itself
         }
     }
@@ -166,21 +205,25 @@
             this.incarnation = incarnation;
         }
 
-        @Override public long now() {
+        @Override
+        public long now() {
             return clock.now();
         }
 
-        @Override public Timer schedule(long delay, Runnable task) {
+        @Override
+        public Timer schedule(long delay, Runnable task) {
             return clock.schedule(delay, () -> node.after(incarnation, task));
         }
     }
 
     private void carry(String from, String to, Runnable arrival) {
-        clock.schedule(1 + random.nextInt(4), () -> {
-            if (!cuts.contains(from + ">" + to)) {
-                arrival.run();
-            }
-        });
+        clock.schedule(
+                1 + random.nextInt(4),
+                () -> {
+                    if (!cuts.contains(from + ">" + to)) {
+                        arrival.run();
+                    }
+                });
     }
 
     void cut(String address) {
@@ -195,8 +238,11 @@
     Node primary() {
         Node found = null;
         for (Node node : nodes.values()) {
-            boolean leads = node.up && clock.now() >= node.frozenUntil
-                    && node.replica.state() == Replica.State.PRIMARY && node.replica.recentlyConfirmed();
+            boolean leads =
+                    node.up
+                            && clock.now() >= node.frozenUntil
+                            && node.replica.state() == Replica.State.PRIMARY
+                            && node.replica.recentlyConfirmed();
             if (leads && (found == null || node.replica.epoch() > found.replica.epoch())) {
                 found = node;
             }
@@ -206,29 +252,43 @@
 
     /** Sends a change to any node that takes itself for primary. */
     void order() {
-        List<Node> leaders = nodes.values().stream()
-                .filter(n -> n.up && n.replica.state() == Replica.State.PRIMARY && !n.replica.busy()).toList();
+        List<Node> leaders =
+                nodes.values().stream()
+                        .filter(
+                                n ->
+                                        n.up
+                                                && n.replica.state() == Replica.State.PRIMARY
+                                                && !n.replica.busy())
+                        .toList();
         if (leaders.isEmpty()) {
             return;
         }
         Node node = leaders.get(random.nextInt(leaders.size()));
         String order = "order-" + orders++;
         int seen = acknowledged.size();
-        node.replica.confirm(ok -> {
-            if (!ok || node.replica.busy()) {
-                return;
-            }
-            long next = node.replica.snapshot().generation + 1;
-            List<String> known = node.replica.snapshot().orders;
-            if (!known.containsAll(acknowledged.subList(0, seen))) {
-                faults.add(node.address + " confirmed without " + acknowledged.subList(0, seen));
-            }
-            node.replica.submit(new byte[] {(byte) next}, next, order, taken -> {
-                if (taken) {
-                    acknowledged.add(order);
-                }
-            });
-        });
+        node.replica.confirm(
+                ok -> {
+                    if (!ok || node.replica.busy()) {
+                        return;
+                    }
+                    long next = node.replica.snapshot().generation + 1;
+                    List<String> known = node.replica.snapshot().orders;
+                    if (!known.containsAll(acknowledged.subList(0, seen))) {
+                        faults.add(
+                                node.address
+                                        + " confirmed without "
+                                        + acknowledged.subList(0, seen));
+                    }
+                    node.replica.submit(
+                            new byte[] {(byte) next},
+                            next,
+                            order,
+                            taken -> {
+                                if (taken) {
+                                    acknowledged.add(order);
+                                }
+                            });
+                });
     }
 
     /** The faults found, after all is mended and time has passed. */
