--- a/src/main/java/yewyoke/control/ControlCommand.java
+++ b/src/main/java/yewyoke/control/ControlCommand.java
@@ -3,23 +3,18 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.HelpFormatter;
-import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
 import yewyoke.io.ResultCode;
 import yewyoke.io.SystemException;
 import yewyoke.message.StoredState;
 import yewyoke.process.NodeSettings;
+import yewyoke.process.ProgramCommand;
 import yewyoke.process.SettingsException;
 
 /** The command line of the control plane. */
 final class ControlCommand {
-    private static final int USAGE = 2;
-    private static final String WORDS =
+    private static final String SYNTAX =
             "yewyoke-control serve | check [FILE] | rehearse | store FOLDER";
-    private static final String FOOTER =
+    private static final String WORDS =
             """
 
 serve         serve with the settings that MYRTLELADDER_CONFIG names
@@ -32,22 +27,7 @@
     private ControlCommand() {}
 
     static int run(String[] arguments) {
-        Options options = new Options();
-        options.addOption("h", "help", false, "this text");
-        try {
-            CommandLine line = new DefaultParser().parse(options, arguments);
-            List<String> words = line.getArgList();
-            if (line.hasOption("help") || words.isEmpty()) {
-                new HelpFormatter().printHelp(WORDS, "", options, FOOTER);
-                return words.isEmpty() && !line.hasOption("help") ? USAGE : 0;
-            }
-            return carryOut(words);
-        } catch (ParseException e) {
-            System.err.println(ResultCode.USAGE.label() + ": " + e.getMessage());
-            return USAGE;
-        } catch (SystemException e) {
-            return Main.failed(e);
-        }
+        return ProgramCommand.run(arguments, SYNTAX, WORDS, ControlCommand::carryOut);
     }
 
     private static int carryOut(List<String> words) {
@@ -61,8 +41,7 @@
                 return verify(words);
             }
             default -> {
-                System.err.println(ResultCode.USAGE.label() + ": unknown word " + words.get(0));
-                return USAGE;
+                return ProgramCommand.unknown(words.get(0));
             }
         }
         return 0;
--- a/src/main/java/yewyoke/control/Main.java
+++ b/src/main/java/yewyoke/control/Main.java
@@ -7,7 +7,6 @@
 import org.apache.logging.log4j.Logger;
 import yewyoke.io.EventLoop;
 import yewyoke.io.HttpServer;
-import yewyoke.io.SystemException;
 import yewyoke.message.Member;
 import yewyoke.message.StoredState;
 import yewyoke.process.Address;
@@ -95,9 +94,4 @@
         Member self = Member.of(settings.ip() + ":" + port, settings.control().toString(), "");
         return new ReplicaOptions(self, settings.toleratedMachines(), settings.bootstrap(), seeds);
     }
-
-    static int failed(SystemException e) {
-        System.err.println(e.getMessage());
-        return 1;
-    }
 }
--- a/src/main/java/yewyoke/dataplane/DataCommand.java
+++ b/src/main/java/yewyoke/dataplane/DataCommand.java
@@ -2,21 +2,15 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.HelpFormatter;
-import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
 import yewyoke.io.ResultCode;
-import yewyoke.io.SystemException;
 import yewyoke.process.NodeSettings;
+import yewyoke.process.ProgramCommand;
 import yewyoke.process.SettingsException;
 
 /** The command line of the data plane. */
 final class DataCommand {
-    private static final int USAGE = 2;
-    private static final String WORDS = "yewyoke-data serve | check [FILE] | rehearse";
-    private static final String FOOTER =
+    private static final String SYNTAX = "yewyoke-data serve | check [FILE] | rehearse";
+    private static final String WORDS =
             """
 
 serve         serve with the settings that MYRTLELADDER_CONFIG names
@@ -28,23 +22,7 @@
     private DataCommand() {}
 
     static int run(String[] arguments) {
-        Options options = new Options();
-        options.addOption("h", "help", false, "this text");
-        try {
-            CommandLine line = new DefaultParser().parse(options, arguments);
-            List<String> words = line.getArgList();
-            if (line.hasOption("help") || words.isEmpty()) {
-                new HelpFormatter().printHelp(WORDS, "", options, FOOTER);
-                return line.hasOption("help") ? 0 : USAGE;
-            }
-            return carryOut(words);
-        } catch (ParseException e) {
-            System.err.println(ResultCode.USAGE.label() + ": " + e.getMessage());
-            return USAGE;
-        } catch (SystemException e) {
-            System.err.println(e.getMessage());
-            return 1;
-        }
+        return ProgramCommand.run(arguments, SYNTAX, WORDS, DataCommand::carryOut);
     }
 
     private static int carryOut(List<String> words) {
@@ -61,8 +39,7 @@
                 System.out.println(settings + "\nsettings are sound");
             }
             default -> {
-                System.err.println(ResultCode.USAGE.label() + ": unknown word " + words.get(0));
-                return USAGE;
+                return ProgramCommand.unknown(words.get(0));
             }
         }
         return 0;
--- a/src/test/java/yewyoke/ModuleSizeTest.java
+++ b/src/test/java/yewyoke/ModuleSizeTest.java
@@ -24,6 +24,22 @@
         assertEquals("", fault(Files.readAllLines(Path.of("src/main/java/yewyoke/Balance.java"))));
     }
 
+    /** The limit holds for all files that the deploy file names for the decisions together. */
+    @Test
+    void allFilesOfTheDecisionsAreWithinTheLimitsTogether() throws IOException {
+        String policy = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("policy = ")).findFirst().orElseThrow();
+        List<String> all = new java.util.ArrayList<>();
+        java.util.regex.Matcher file = java.util.regex.Pattern.compile("\"([^\"]+\\.java)\"").matcher(policy);
+        int files = 0;
+        while (file.find()) {
+            files++;
+            all.addAll(Files.readAllLines(Path.of(file.group(1))));
+        }
+        assertEquals(3, files);
+        assertEquals("", fault(all));
+    }
+
     @Test
     void theLimitsCatchAnExcess() {
         assertEquals("too long: 1200", fault(Collections.nCopies(1200, "x")));
--- a/src/test/java/yewyoke/PackagesTest.java
+++ b/src/test/java/yewyoke/PackagesTest.java
@@ -43,7 +43,7 @@
         "yewyoke.replication,yewyoke.io yewyoke.message org.apache.logging.log4j..",
         "yewyoke.membership,yewyoke.io yewyoke.message yewyoke.replication",
         "yewyoke.rpc,yewyoke.io yewyoke.message yewyoke.replication",
-        "yewyoke.process,yewyoke.io com.fasterxml.jackson..",
+        "yewyoke.process,yewyoke.io com.fasterxml.jackson.. org.apache.commons.cli",
         "yewyoke.control,yewyoke.io yewyoke.message yewyoke.configuration "
                 + "yewyoke.replication yewyoke.rpc "
         + "yewyoke.process yewyoke.signal org.mapdb.. kotlin.. org.apache.logging.log4j.. "
