Complete the saves of the test's disks in order, also after a freeze

Cause: in the test, a save put off by a freeze that was ended early was carried out after newer ones and put the disk back; the disk's thread saves in order. Ruled out: the protocol: with saves in order the same schedule loses nothing. Stricter now: each event completes the oldest save, whatever the order of events.

--- a/src/test/java/yewyoke/replication/VirtualCluster.java
+++ b/src/test/java/yewyoke/replication/VirtualCluster.java
@@ -1,5 +1,6 @@
 package yewyoke.replication;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -55,6 +56,9 @@
         return nodes.get(address(i));
     }
 
+    /** A state on its way to the disk. */
+    private record Save(byte[] bytes, Consumer<Boolean> done) {}
+
     /** A process with its disk. */
     final class Node implements Peers, Storage, Replica.Listener {
         final String address;
@@ -67,6 +71,7 @@
         long syncMs = 5;
         boolean diskFull;
         private long savedBy;
+        private final ArrayDeque<Save> saves = new ArrayDeque<>();
 
         Node(String address, String control) {
             this.address = address;
@@ -76,6 +81,7 @@
         void start(boolean bootstrap) {
             incarnation++;
             savedBy = 0;
+            saves.clear();
             up = true;
             int mine = incarnation;
             StoredState stored = disk == null ? null : (StoredState) MessageCodec.decode(disk);
@@ -109,19 +115,19 @@
         public void save(StoredState state, Consumer<Boolean> done) {
             byte[] bytes = MessageCodec.encode(state);
             int mine = incarnation;
-            // One save after the other, as the disk's thread does them.
+            // One save after the other, as the disk's thread does them; each event completes the
+            // oldest.
+            saves.add(new Save(bytes, done));
             savedBy = Math.max(savedBy, clock.now()) + syncMs + random.nextInt(3);
-            clock.schedule(
-                    savedBy - clock.now(),
-                    () ->
-                            after(
-                                    mine,
-                                    () -> {
-                                        if (!diskFull) {
-                                            disk = bytes;
-                                        }
-                                        done.accept(!diskFull);
-                                    }));
+            clock.schedule(savedBy - clock.now(), () -> after(mine, this::completeOldest));
+        }
+
+        private void completeOldest() {
+            Save save = saves.poll();
+            if (!diskFull) {
+                disk = save.bytes();
+            }
+            save.done().accept(!diskFull);
         }
 
         private void after(int mine, Runnable task) {
