Leave it to the voters to elect a leader before the whole council founds anew

Cause: Election.mayFound let a councillor that was voted out found at once when all five names gave their word, although three of them had votes and could elect a leader; with no command open its log is as good as theirs. Ruled out: a majority of new lives (none was restarted then), the wall clock (epochs are drawn from it only when something is founded).

--- a/src/main/java/yewyoke/fleet/agree/Agreement.java
+++ b/src/main/java/yewyoke/fleet/agree/Agreement.java
@@ -734,6 +734,8 @@
         private final Map<String, Life> votes = new TreeMap<>();
         private int votesOfNew;
         private long asked = -1;
+        /** Since when each round of questions has found the whole council willing to found; -1 if none did. */
+        private long willingSince = -1;
         private boolean candidate;
         private long begunAt;
         private boolean founding;
@@ -742,6 +744,7 @@
         void end() {
             candidate = false;
             asked = -1;
+            willingSince = -1;
             said.clear();
         }
 
@@ -761,6 +764,7 @@
                 return;
             }
             leader = null;
+            willingSince = allWilling() ? willingSince : -1;
             said.clear();
             asked = now;
             askAll(Message.of(Message.Kind.ASK, me, null, term, log.last(), log.lastTerm(), now));
@@ -826,22 +830,46 @@
         }
 
         private boolean mayFound(long now) {
-            long of = ripe(now) ? 1 : 0;
             long ofNew = ripe(now) && !voter() ? 1 : 0;
             for (Message m : said.values()) {
-                of += m.ripe() ? 1 : 0;
                 ofNew += m.ripe() && hasNoVote(m) ? 1 : 0;
             }
-            return enough(of, ofNew);
+            if (bereft(willing(now), ofNew)) {
+                return true;
+            }
+            if (willing(now) < settings.council().size()) {
+                return false;
+            }
+            willingSince = willingSince < 0 ? now : willingSince;
+            return votersHere() < settings.quorum() || now - willingSince >= settings.settling();
+        }
+
+        /** Names of the council, this one among them, that would help to found. */
+        private long willing(long now) {
+            return (ripe(now) ? 1 : 0) + said.values().stream().filter(Message::ripe).count();
+        }
+
+        private boolean allWilling() {
+            return said.size() == settings.council().size() - 1
+                    && said.values().stream().allMatch(Message::ripe);
+        }
+
+        /** Lives with a vote in the newest view known here that answered, this one among them: they may elect. */
+        private long votersHere() {
+            return (voter() ? 1 : 0) + said.values().stream().filter(m -> log.view().has(m.from())).count();
+        }
+
+        /** Enough new lives show that no majority of those taken in is left. */
+        private boolean bereft(long of, long ofNew) {
+            return of >= settings.quorum() && ofNew >= settings.bereft();
         }
 
         /**
-         * Enough new lives show that no majority of those taken in is left. And where everybody gives his
-         * word, nobody is left out who might know more: a view that took in too few of the living, and could
-         * not be decided before the others ended, is left behind like that.
+         * Where everybody gives his word, nobody is left out who might know more: a view that took in too few
+         * of the living, and could not be decided before the others ended, is left behind like that.
          */
         private boolean enough(long of, long ofNew) {
-            return of >= settings.quorum() && ofNew >= settings.bereft() || of == settings.council().size();
+            return bereft(of, ofNew) || of == settings.council().size();
         }
 
         private void begin(long now, Term its, boolean toFound) {
--- a/src/test/java/yewyoke/fleet/agree/AgreementTest.java
+++ b/src/test/java/yewyoke/fleet/agree/AgreementTest.java
@@ -241,6 +241,28 @@
         assertEquals(1, fleet.foundings.size());
     }
 
+    /** Two that were voted out and hear everybody again leave it to the three with a vote to elect a leader. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 101, 201})
+    void thoseVotedOutBeginNothingAnewWhileAMajorityOfVotersLives(long first) {
+        for (long seed = first; seed < first + 20; seed++) {
+            VirtualAgreement fleet = settled(seed, FIVE, 5);
+            fleet.cut(List.of("m0", "m1"), List.of("m2", "m3", "m4"), true);
+            fleet.run(8 * SECOND);
+            fleet.nodes.values().forEach(n -> n.working = false);
+            fleet.calm();
+            fleet.run(2 * SECOND);
+            for (String name : names(5)) {
+                fleet.cut(List.of(name), names(5).stream().filter(n -> !n.equals(name)).toList(), true);
+            }
+            fleet.run(5 * SECOND);
+            fleet.calm();
+            fleet.run(15 * SECOND);
+            assertNull(quiet(fleet));
+            assertEquals(1, fleet.foundings.size(), "seed " + seed);
+        }
+    }
+
     /** A leader that hears and is not heard is replaced; one that is heard and does not hear gives up. */
     @ParameterizedTest
     @CsvSource({"true", "false"})
