Keep no quota at balancers beyond a part of the slack, and give back to the primary

Cause: each of 56 balancers kept what QuotaBank granted ahead (up to a request's 17,000 tokens) and what refused requests gave back (up to twice that), and spent it in the same window as the burst; TenantQuotas asked for a whole request beside what it kept. And a balancer that loses the primary let one request pass at once, 56 of them 952,000 tokens together. Change: what is granted ahead fits into a quarter of the slack over all balancers, a balancer asks for what it lacks, units of requests that did not run go back to the primary, and a balancer without the primary begins with a drawn debt.

--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -146,6 +146,7 @@
         }
         lastTick = now;
         balancers.expire(now);
+        bank.balancers(balancers.count(!settled(now)));
         if (!leading) {
             return;
         }
--- a/src/main/java/yewyoke/control/QuotaBank.java
+++ b/src/main/java/yewyoke/control/QuotaBank.java
@@ -17,11 +17,12 @@
     private static final double SLACK_USED = 0.25;
     private static final double FIRST_LEVEL = 0.3;
     private static final double FULL = 0.5;
-    private static final double AHEAD = 0.1;
+    private static final double SLACK_AHEAD = 0.25;
 
     private final double overage;
     private final double slack;
     private final Map<String, Bucket> buckets = new HashMap<>();
+    private int balancers = 1;
 
     private static final class Bucket {
         double rate;
@@ -68,21 +69,36 @@
         }
     }
 
+    /** How many balancers share what is granted ahead. */
+    void balancers(int count) {
+        balancers = Math.max(1, count);
+    }
+
+    /**
+     * Grants what a balancer asks for, or tells when there may be some; a negative number of units
+     * is given back.
+     */
     QuotaGrant grant(QuotaAsk ask, long now) {
         Bucket bucket = buckets.get(ask.tenant);
         if (bucket == null) {
             return QuotaGrant.of(true, ask.units, 0);
         }
         bucket.fill(now);
+        if (ask.units < 0) {
+            bucket.level = Math.min(bucket.most, bucket.level - ask.units);
+            return QuotaGrant.of(true, 0, 0);
+        }
         if (bucket.level <= 0) {
             return QuotaGrant.of(
                     true, 0, Math.max(1, Math.round(-bucket.level / bucket.rate * 1_000)));
         }
-        double ahead =
-                bucket.level > FULL * bucket.most
-                        ? Math.min(ask.units, AHEAD * (bucket.level - FULL * bucket.most))
-                        : 0;
+        double ahead = bucket.level > FULL * bucket.most ? mostAhead() : 0;
         bucket.level -= ask.units + ahead;
         return QuotaGrant.of(true, ask.units + ahead, 0);
     }
+
+    /** What all balancers keep of a tenant together has to fit into the slack. */
+    private double mostAhead() {
+        return SLACK_AHEAD * slack / balancers;
+    }
 }
--- a/src/main/java/yewyoke/dataplane/Router.java
+++ b/src/main/java/yewyoke/dataplane/Router.java
@@ -42,7 +42,7 @@
             RetryBudget budget,
             TenantQuotas.Bank bank,
             long seed) {
-        this.quotas = new TenantQuotas(bank);
+        this.quotas = new TenantQuotas(bank, seed);
         this.scheduler = scheduler;
         this.connections = connections;
         this.directory = new UpstreamDirectory(u -> connections.closeIdle());
--- a/src/main/java/yewyoke/dataplane/TenantQuotas.java
+++ b/src/main/java/yewyoke/dataplane/TenantQuotas.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.function.LongConsumer;
 import yewyoke.configuration.Configuration;
 import yewyoke.configuration.Tenant;
@@ -30,6 +31,7 @@
     }
 
     private final Bank bank;
+    private final SplittableRandom random;
     private final Map<String, Bucket> buckets = new HashMap<>();
     private int balancers = 1;
     private long silentSince = Long.MAX_VALUE;
@@ -41,11 +43,12 @@
         double units;
         long emptyUntil;
         double fallback;
-        long fallbackAt;
+        long fallbackAt = Long.MIN_VALUE;
     }
 
-    TenantQuotas(Bank bank) {
+    TenantQuotas(Bank bank, long seed) {
         this.bank = bank;
+        this.random = new SplittableRandom(seed);
     }
 
     void use(Configuration configuration, long now) {
@@ -81,7 +84,7 @@
             decided.accept(fallBack(bucket, cost, now));
         } else {
             bank.ask(
-                    QuotaAsk.of(tenant.name(), cost),
+                    QuotaAsk.of(tenant.name(), cost - bucket.units),
                     ANSWER,
                     answer -> answered(bucket, cost, answer, decided));
         }
@@ -113,6 +116,10 @@
     private long fallBack(Bucket bucket, double cost, long now) {
         double part = now - silentSince <= FULL_PART_FOR ? FULL_PART : SMALL_PART;
         double rate = bucket.tenant.ratePerSecond() * part / balancers;
+        if (bucket.fallbackAt < silentSince) {
+            // A request may leave a debt, and all balancers begin at once: each with a part of one.
+            bucket.fallback = -random.nextDouble() * cost;
+        }
         double gained = rate * (now - Math.max(bucket.fallbackAt, silentSince)) / 1_000;
         bucket.fallback = Math.min(rate * FALLBACK_SECONDS, bucket.fallback + Math.max(0, gained));
         bucket.fallbackAt = now;
@@ -123,11 +130,19 @@
         return Math.max(1, Math.round(-bucket.fallback / Math.max(rate, 1e-6) * 1_000));
     }
 
-    /** Gives back what a request that did not run was counted. */
+    /**
+     * Gives back what a request that did not run was counted: to where it came from, so that no
+     * balancer keeps units which the others could use.
+     */
     void giveBack(Tenant tenant, double cost) {
         Bucket bucket = buckets.get(tenant.name());
-        if (bucket != null) {
-            bucket.units = Math.min(bucket.units + cost, 2 * cost);
+        if (bucket == null || tenant.ratePerSecond() <= 0) {
+            return;
+        }
+        if (silentSince == Long.MAX_VALUE) {
+            bank.ask(QuotaAsk.of(tenant.name(), -cost), ANSWER, answer -> {});
+        } else {
+            bucket.fallback = Math.min(0, bucket.fallback + cost);
         }
     }
 }
--- a/src/test/java/yewyoke/control/QuotaBankTest.java
+++ b/src/test/java/yewyoke/control/QuotaBankTest.java
@@ -62,6 +62,29 @@
         assertEquals(0, bank.grant(QuotaAsk.of("t", 1), 0).units);
     }
 
+    @Test
+    void whatAllBalancersGetAheadFitsIntoThePartOfTheSlack() {
+        QuotaBank bank = new QuotaBank(0.1, 190_000);
+        bank.balancers(56);
+        bank.use(configuration(446_000, 446_000), true, 0);
+        double ahead = 0;
+        for (int balancer = 0; balancer < 56; balancer++) {
+            ahead += bank.grant(QuotaAsk.of("t", 1_000), 0).units - 1_000;
+        }
+        assertTrue(ahead <= 0.25 * 190_000 + 1, "ahead " + ahead);
+        assertTrue(ahead > 0, "nothing ahead");
+    }
+
+    @Test
+    void unitsThatAreGivenBackCanBeGrantedAgain() {
+        QuotaBank bank = new QuotaBank(0, 0);
+        bank.use(configuration(1_000, 1_000), true, 0);
+        bank.grant(QuotaAsk.of("t", 1_000), 0);
+        assertEquals(0, bank.grant(QuotaAsk.of("t", 400), 0).units);
+        bank.grant(QuotaAsk.of("t", -700), 0);
+        assertEquals(400, bank.grant(QuotaAsk.of("t", 400), 0).units);
+    }
+
     @Test
     void aTenantWithoutLimitIsAlwaysGranted() {
         QuotaBank bank = new QuotaBank(0, 0);
