Let a replacement take over the ordinal of the upstream that leaves its zone

Need: an upgrade replaces each upstream of a zone, the new one first. Each new incarnation took a part of all subjects from warm upstreams, and each one that left scattered its own, so contexts moved twice. Change: the primary gives each incarnation an ordinal of its service; a new one waits 5 s for one of its zone to leave and takes its ordinal over, a home is ranked by ordinal, and one without is nobody's home.

--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -155,6 +155,7 @@
                 && registry.expire(now, SILENT_HEARTBEATS * heartbeatMs + heartbeatMs / 2)) {
             answerPolls();
         }
+        assignOrdinals(now);
         List<HeldPoll> due = polls.stream().filter(p -> now - p.since() >= HOLD_POLL).toList();
         polls.removeAll(due);
         due.forEach(p -> p.answer().accept(reply(p.poll())));
@@ -164,6 +165,21 @@
         work();
     }
 
+    private void assignOrdinals(long now) {
+        if (!replica.recentlyConfirmed()) {
+            return;
+        }
+        List<InstanceRecord> assigned = registry.assignOrdinals(now);
+        if (!assigned.isEmpty()) {
+            for (InstanceRecord record : assigned) {
+                LOG.info("{} in {} has ordinal {}", record.id, record.zone, record.ordinal);
+                share(record, safe -> {});
+            }
+            answerPolls();
+            saveSoon();
+        }
+    }
+
     /** Whether each upstream that lives has had the time to be heard by this primary. */
     private boolean settled(long now) {
         return now - leadingSince > SILENT_HEARTBEATS * heartbeatMs;
--- a/src/main/java/yewyoke/control/InstanceRegistry.java
+++ b/src/main/java/yewyoke/control/InstanceRegistry.java
@@ -22,6 +22,7 @@
         InstanceRecord record;
         long revision;
         long heardAt;
+        long knownSince;
     }
 
     long revision() {
@@ -32,6 +33,7 @@
     boolean take(InstanceRecord record, long now) {
         Entry entry = entries.computeIfAbsent(record.id, id -> new Entry());
         InstanceRecord before = entry.record;
+        entry.knownSince = before == null ? now : entry.knownSince;
         InstanceRecord after = before == null ? record : InstanceRecord.later(before, record);
         entry.heardAt = now;
         entry.record = after;
@@ -81,6 +83,21 @@
         return changed;
     }
 
+    /** Gives ordinals to instances that have none, as far as that is due; those that got one. */
+    List<InstanceRecord> assignOrdinals(long now) {
+        List<OrdinalAssignment.Holder> holders = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            holders.add(new OrdinalAssignment.Holder(entry.record, entry.knownSince));
+        }
+        List<InstanceRecord> assigned = OrdinalAssignment.assign(holders, now);
+        for (InstanceRecord record : assigned) {
+            Entry entry = entries.get(record.id);
+            entry.record = record;
+            entry.revision = ++revision;
+        }
+        return assigned;
+    }
+
     /** Takes upstreams for lost that have been silent for too long; whether any was. */
     boolean expire(long now, long longestSilence) {
         boolean changed = false;
--- a/src/main/java/yewyoke/dataplane/Placement.java
+++ b/src/main/java/yewyoke/dataplane/Placement.java
@@ -154,14 +154,21 @@
     private static Upstream ranked(List<Upstream> open, long subject, Upstream except) {
         Upstream best = null;
         for (Upstream upstream : open) {
-            if (upstream != except
-                    && (best == null || upstream.rank(subject) > best.rank(subject))) {
+            if (upstream != except && (best == null || ranksBefore(upstream, best, subject))) {
                 best = upstream;
             }
         }
         return best;
     }
 
+    /** New instances are nobody's home until they have an ordinal. */
+    private static boolean ranksBefore(Upstream upstream, Upstream other, long subject) {
+        if (upstream.isHome() != other.isHome()) {
+            return upstream.isHome();
+        }
+        return upstream.rank(subject) > other.rank(subject);
+    }
+
     private Pick expectation(Upstream upstream, PromptParts prompt, double keptByOthers, long now) {
         int total = prompt.total();
         int shared =
--- a/src/main/java/yewyoke/dataplane/Upstream.java
+++ b/src/main/java/yewyoke/dataplane/Upstream.java
@@ -18,7 +18,7 @@
     private static final double BACKLOG_FULL_MS = 1_000;
 
     private InstanceRecord record;
-    private final long hash;
+    private long hash;
     private final Set<Attempt> attempts = new HashSet<>();
     private PrefixMemory memory = new PrefixMemory(0);
     private boolean hasEngine;
@@ -37,7 +37,18 @@
 
     Upstream(InstanceRecord record) {
         this.record = record;
-        this.hash = Hashes.of(record.id);
+        this.hash = hashOf(record);
+    }
+
+    /** The same for all incarnations that took over an ordinal one after the other. */
+    private static long hashOf(InstanceRecord record) {
+        boolean unassigned = record.ordinal == InstanceRecord.UNASSIGNED;
+        return Hashes.of(unassigned ? record.id : record.service + "#" + record.ordinal);
+    }
+
+    /** Whether subjects can have their home here. */
+    boolean isHome() {
+        return record.ordinal != InstanceRecord.UNASSIGNED;
     }
 
     InstanceRecord record() {
@@ -46,6 +57,7 @@
 
     void update(InstanceRecord next) {
         record = next;
+        hash = hashOf(next);
     }
 
     void engine(Service.Engine engine) {
--- a/src/main/java/yewyoke/message/InstanceRecord.java
+++ b/src/main/java/yewyoke/message/InstanceRecord.java
@@ -37,6 +37,15 @@
     /** The number of the heartbeat that told this. */
     public long sequence;
 
+    /** No ordinal was assigned. */
+    public static final int UNASSIGNED = 0;
+
+    /**
+     * The instance's place among those of its service, from 1; a replacement takes over that of the
+     * instance it replaces. Assigned by the primary, so heartbeats do not tell it.
+     */
+    public int ordinal = UNASSIGNED;
+
     /** Creates a record from its parts. */
     public static InstanceRecord of(
             String id,
@@ -61,7 +70,18 @@
 
     /** The same at another stage. */
     public InstanceRecord at(Stage other) {
-        return of(id, service, address, zone, capacity, version, other, sequence);
+        return of(id, service, address, zone, capacity, version, other, sequence)
+                .withOrdinal(ordinal);
+    }
+
+    /** The same with an ordinal. */
+    public InstanceRecord withOrdinal(int assigned) {
+        if (assigned == ordinal) {
+            return this;
+        }
+        InstanceRecord made = of(id, service, address, zone, capacity, version, stage, sequence);
+        made.ordinal = assigned;
+        return made;
     }
 
     /** Whether this tells something else than another record, its number apart. */
@@ -69,6 +89,7 @@
         return other == null
                 || stage != other.stage
                 || capacity != other.capacity
+                || ordinal != other.ordinal
                 || !address.equals(other.address)
                 || !service.equals(other.service);
     }
@@ -80,6 +101,10 @@
 
     /** Which of two records of one incarnation holds: a departure, else the later heartbeat. */
     public static InstanceRecord later(InstanceRecord a, InstanceRecord b) {
+        return laterHeard(a, b).withOrdinal(Math.max(a.ordinal, b.ordinal));
+    }
+
+    private static InstanceRecord laterHeard(InstanceRecord a, InstanceRecord b) {
         if (a.leaving() != b.leaving() || a.leaving() && a.stage != b.stage) {
             return a.stage.ordinal() > b.stage.ordinal() ? a : b;
         }
