--- a/src/main/java/yewyoke/control/BalancerDirectory.java
+++ b/src/main/java/yewyoke/control/BalancerDirectory.java
@@ -1,11 +1,13 @@
 package yewyoke.control;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import yewyoke.message.FleetMember;
 import yewyoke.message.Poll;
+import yewyoke.message.UnderWay;
 
 /** The balancers that live: those that poll, and those that their monitors on the ring hear. */
 final class BalancerDirectory {
@@ -18,6 +20,7 @@
         String address;
         long heardAt;
         int told;
+        List<UnderWay> underWay = List.of();
     }
 
     /** Takes a poll, with what the balancer hears of those that it monitors. */
@@ -41,6 +44,16 @@
         }
         entry.heardAt = now;
         entry.told = poll.balancers;
+        entry.underWay = poll.underWay;
+    }
+
+    /** What all balancers have under way at upstreams that leave, by incarnation. */
+    Map<String, Integer> underWay() {
+        Map<String, Integer> sums = new HashMap<>();
+        for (Entry entry : entries.values()) {
+            entry.underWay.forEach(u -> sums.merge(u.instance, u.requests, Integer::sum));
+        }
+        return sums;
     }
 
     /** Forgets balancers that nobody hears. */
--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -58,6 +58,7 @@
     private final Peers peers;
     private final int tolerated;
     private final long heartbeatMs;
+    private final Map<String, String> regionOfZone;
     private final InstanceRegistry registry = new InstanceRegistry();
     private final BalancerDirectory balancers = new BalancerDirectory();
     private final QuotaBank bank;
@@ -85,7 +86,9 @@
             int tolerated,
             long heartbeatMs,
             double quotaOverage,
-            double quotaSlack) {
+            double quotaSlack,
+            Map<String, String> regionOfZone) {
+        this.regionOfZone = regionOfZone;
         this.bank = new QuotaBank(quotaOverage, quotaSlack);
         this.handoff = new HintedHandoff(scheduler, peers);
         this.scheduler = scheduler;
@@ -195,6 +198,8 @@
             order(exchange);
         } else if (path.startsWith("/instances/")) {
             instance(exchange, path.substring("/instances/".length()));
+        } else if (path.equals("/upgrade")) {
+            upgrade(exchange);
         } else if (path.equals("/status")) {
             exchange.respond(200, json(), Json.write(status()));
         } else {
@@ -218,6 +223,21 @@
                 String.valueOf(replica.view()));
     }
 
+    /** Only the primary hears the balancers, so it alone can tell what is under way. */
+    private void upgrade(ServerExchange exchange) {
+        if (!leading || !replica.recentlyConfirmed()) {
+            redirect(exchange);
+            return;
+        }
+        exchange.respond(
+                200,
+                json(),
+                Json.write(
+                        UpgradeStatus.document(
+                                UpgradeStatus.of(
+                                        registry.all(), balancers.underWay(), regionOfZone))));
+    }
+
     private static Headers json() {
         return new Headers().add("Content-Type", "application/json");
     }
--- a/src/main/java/yewyoke/control/Main.java
+++ b/src/main/java/yewyoke/control/Main.java
@@ -67,7 +67,8 @@
                         settings.toleratedMachines(),
                         settings.heartbeatMs(),
                         bounds.quotaOverage(),
-                        bounds.quotaSlack());
+                        bounds.quotaSlack(),
+                        settings.regionOfZone());
         Replica replica =
                 new Replica(
                         options(settings),
--- a/src/main/java/yewyoke/control/Rehearsal.java
+++ b/src/main/java/yewyoke/control/Rehearsal.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import yewyoke.io.EventLoop;
@@ -78,6 +79,7 @@
                         HOST,
                         "z",
                         "",
+                        Map.of(),
                         internal,
                         List.of(self),
                         true,
--- a/src/main/java/yewyoke/dataplane/ControlPoller.java
+++ b/src/main/java/yewyoke/dataplane/ControlPoller.java
@@ -123,6 +123,7 @@
         poll.address = address;
         poll.alive = agent.alive();
         poll.memberRevision = memberRevision;
+        poll.underWay.addAll(router.directory().underWayAtLeaving());
         askedAt = scheduler.now();
         peers.call(target, poll, TIMEOUT, this::answered);
     }
--- a/src/main/java/yewyoke/dataplane/Rehearsal.java
+++ b/src/main/java/yewyoke/dataplane/Rehearsal.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import yewyoke.configuration.Compression;
@@ -86,6 +87,7 @@
                         HOST,
                         "z",
                         "",
+                        Map.of(),
                         control,
                         List.of(new Address(HOST, control)),
                         false,
--- a/src/main/java/yewyoke/dataplane/UpstreamDirectory.java
+++ b/src/main/java/yewyoke/dataplane/UpstreamDirectory.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,6 +14,7 @@
 import yewyoke.configuration.Service;
 import yewyoke.message.InstanceRecord;
 import yewyoke.message.InstanceRecord.Stage;
+import yewyoke.message.UnderWay;
 
 /**
  * The upstreams that this balancer knows, by service. One that drains or is gone never comes back.
@@ -23,6 +25,7 @@
     private final Map<String, Upstream> byId = new LinkedHashMap<>();
     private final Map<String, List<Upstream>> readyByService = new HashMap<>();
     private final Set<String> ended = new HashSet<>();
+    private final Set<Upstream> finishing = new LinkedHashSet<>();
     private final Consumer<Upstream> onEnd;
     private Configuration configuration;
 
@@ -99,9 +102,16 @@
     private void end(Upstream upstream, Stage stage) {
         byId.remove(upstream.record().id);
         upstream.update(upstream.record().at(stage));
+        finishing.add(upstream);
         onEnd.accept(upstream);
     }
 
+    /** What is under way at upstreams that take no more requests; it ends where it began. */
+    List<UnderWay> underWayAtLeaving() {
+        finishing.removeIf(upstream -> upstream.own() == 0);
+        return finishing.stream().map(u -> UnderWay.of(u.record().id, u.own())).toList();
+    }
+
     /** An answer showed that this incarnation is not at its address any more. */
     void gone(Upstream upstream) {
         if (byId.get(upstream.record().id) == upstream) {
--- a/src/main/java/yewyoke/message/Poll.java
+++ b/src/main/java/yewyoke/message/Poll.java
@@ -35,6 +35,9 @@
     /** How many balancers there are as far as it knows. */
     public int balancers;
 
+    /** What it has under way at upstreams that leave. */
+    public List<UnderWay> underWay = new ArrayList<>();
+
     /** Whether news are wanted at once, even if there are none. */
     public boolean immediate;
 }
--- a/src/main/java/yewyoke/process/NodeSettings.java
+++ b/src/main/java/yewyoke/process/NodeSettings.java
@@ -7,7 +7,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import yewyoke.io.ResultCode;
 
 /** What the platform tells a process, checked whole; fields that are not known are ignored. */
@@ -17,6 +19,7 @@
         String ip,
         String zone,
         String region,
+        Map<String, String> regionOfZone,
         int firstPort,
         List<Address> seeds,
         boolean bootstrap,
@@ -83,6 +86,7 @@
                 text(root, "ip"),
                 text(root, "zone"),
                 root.path("region").asText(""),
+                regions(root.path("zones")),
                 firstPort(root),
                 seeds(root),
                 root.path("bootstrap").asBoolean(false),
@@ -96,6 +100,12 @@
                 bounds(root.path("bounds")));
     }
 
+    private static Map<String, String> regions(JsonNode zones) {
+        Map<String, String> regions = new LinkedHashMap<>();
+        zones.fields().forEachRemaining(e -> regions.put(e.getKey(), e.getValue().asText("")));
+        return regions;
+    }
+
     private static Limits limits(JsonNode node) {
         return new Limits(node.path("memory_mb").asInt(256), node.path("max_fds").asInt(1_024));
     }
--- a/src/test/java/yewyoke/control/ControlPlaneTest.java
+++ b/src/test/java/yewyoke/control/ControlPlaneTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import yewyoke.io.Headers;
@@ -18,6 +19,7 @@
 import yewyoke.message.Acknowledge;
 import yewyoke.message.Heartbeat;
 import yewyoke.message.Install;
+import yewyoke.message.InstanceRecord;
 import yewyoke.message.InstanceRecord.Stage;
 import yewyoke.message.Member;
 import yewyoke.message.Message;
@@ -28,6 +30,7 @@
 import yewyoke.message.Replicate;
 import yewyoke.message.ShareInstances;
 import yewyoke.message.StoredState;
+import yewyoke.message.UnderWay;
 import yewyoke.replication.ManualScheduler;
 import yewyoke.replication.Replica;
 import yewyoke.replication.ReplicaOptions;
@@ -122,7 +125,7 @@
                         Member.of("a:1", "a:2", ""),
                         Member.of("b:1", "b:2", ""),
                         Member.of("c:1", "c:2", ""));
-        plane = new ControlPlane(clock, this::call, 1, 1_000, 0.1, 1_000);
+        plane = new ControlPlane(clock, this::call, 1, 1_000, 0.1, 1_000, Map.of("z", "r"));
         replica =
                 new Replica(
                         new ReplicaOptions(seeds.get(0), 1, true, seeds),
@@ -304,12 +307,62 @@
         assertEquals(Stage.DRAINING, plane.instances().get(0).stage);
     }
 
+    private String upgrade() {
+        Call call = new Call("GET", "/upgrade", null, "");
+        plane.handle(call);
+        assertEquals(200, call.status);
+        return call.answer;
+    }
+
+    private void heartbeats(int first, int count, String... ids) {
+        for (int i = 0; i < count; i++) {
+            for (String id : ids) {
+                heartbeat(id, "ready", first + i);
+            }
+            clock.run(900);
+        }
+    }
+
+    private void pollWith(UnderWay... underWay) {
+        Poll poll = new Poll();
+        poll.balancer = "e";
+        poll.address = "e:1";
+        poll.underWay.addAll(List.of(underWay));
+        poll.immediate = true;
+        plane.receive(poll, answer -> {});
+    }
+
+    @Test
+    void anUpgradeIsSettledOnceNothingIsUnderWayAtUpstreamsThatLeave() {
+        heartbeats(1, 6, "i1", "i2");
+        assertTrue(upgrade().contains("\"settled\":true"), upgrade());
+        heartbeat("i3", "ready", 1);
+        assertTrue(upgrade().contains("\"without_ordinal\":1"), upgrade());
+        heartbeat("i1", "draining", 9);
+        pollWith(UnderWay.of("i1", 2));
+        assertTrue(upgrade().contains("\"draining\":1"), upgrade());
+        plane.handle(new Call("DELETE", "/instances/i1", null, ""));
+        heartbeats(10, 1, "i2", "i3");
+        pollWith(UnderWay.of("i1", 2));
+        assertTrue(upgrade().startsWith("{\"settled\":false"), upgrade());
+        assertTrue(upgrade().contains("\"under_way\":2"), upgrade());
+        pollWith();
+        assertTrue(upgrade().startsWith("{\"settled\":true"), upgrade());
+        InstanceRecord left = record("i1");
+        assertEquals(left.ordinal, record("i3").ordinal);
+    }
+
+    private InstanceRecord record(String id) {
+        return plane.instances().stream().filter(r -> r.id.equals(id)).findFirst().orElseThrow();
+    }
+
     @Test
     void aRestartOfAllKnowsTheUpstreamsAgain() {
         heartbeat("i", "ready", 1);
         heartbeat("d", "draining", 1);
         clock.run(1_000);
-        ControlPlane after = new ControlPlane(clock, this::call, 1, 1_000, 0.1, 1_000);
+        ControlPlane after =
+                new ControlPlane(clock, this::call, 1, 1_000, 0.1, 1_000, Map.of("z", "r"));
         after.attach(
                 new Replica(
                         new ReplicaOptions(replica.self(), 1, false, List.of()),
