--- /dev/null
+++ b/src/main/java/yewyoke/control/PollDistribution.java
@@ -0,0 +1,159 @@
+package yewyoke.control;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import yewyoke.io.Scheduler;
+import yewyoke.message.Member;
+import yewyoke.message.Message;
+import yewyoke.message.Poll;
+import yewyoke.message.PollReply;
+import yewyoke.message.Snapshot;
+import yewyoke.replication.Replica;
+
+/**
+ * The long polls of balancers: the primary answers each with what is newer than what the balancer
+ * has, the configuration and the upstreams each by a version of their own.
+ */
+final class PollDistribution {
+    private static final long HOLD = 450;
+    private static final byte[] NO_BYTES = {};
+
+    private final Scheduler scheduler;
+    private final InstanceRegistry registry;
+    private final BalancerDirectory balancers;
+    private final Supplier<Snapshot> committed;
+    private final BooleanSupplier settled;
+    private final List<HeldPoll> polls = new ArrayList<>();
+    private Replica replica;
+    private boolean leading;
+
+    /** A poll that waits for news. */
+    private record HeldPoll(Poll poll, Consumer<Message> answer, long since) {}
+
+    /**
+     * Creates the distribution; {@code settled} tells whether each upstream that lives has had the
+     * time to be heard here.
+     */
+    PollDistribution(
+            Scheduler scheduler,
+            InstanceRegistry registry,
+            BalancerDirectory balancers,
+            Supplier<Snapshot> committed,
+            BooleanSupplier settled) {
+        this.scheduler = scheduler;
+        this.registry = registry;
+        this.balancers = balancers;
+        this.committed = committed;
+        this.settled = settled;
+    }
+
+    /** Gives the replica that knows who is primary. */
+    void attach(Replica attached) {
+        replica = attached;
+    }
+
+    /** This node is primary. */
+    void lead() {
+        leading = true;
+        answerNews();
+    }
+
+    /** This node is primary no more: all that is held hears who is. */
+    void follow() {
+        leading = false;
+        List<HeldPoll> held = new ArrayList<>(polls);
+        polls.clear();
+        held.forEach(p -> p.answer().accept(notPrimary()));
+    }
+
+    /** Answers the polls that were held for long enough. */
+    void time(long now) {
+        List<HeldPoll> due = polls.stream().filter(p -> now - p.since() >= HOLD).toList();
+        polls.removeAll(due);
+        due.forEach(p -> p.answer().accept(reply(p.poll())));
+    }
+
+    private Snapshot committed() {
+        return committed.get();
+    }
+
+    private boolean settled() {
+        return settled.getAsBoolean();
+    }
+
+    /** Takes a poll: it is answered at once if there is news, else when there is some. */
+    void take(Poll poll, Consumer<Message> answer) {
+        if (!leading || !replica.recentlyConfirmed()) {
+            answer.accept(notPrimary());
+            return;
+        }
+        balancers.heard(poll, scheduler.now());
+        if (poll.immediate || poll.leaving || hasNews(poll)) {
+            answer.accept(reply(poll));
+        } else {
+            polls.add(new HeldPoll(poll, answer, scheduler.now()));
+        }
+    }
+
+    private boolean hasNews(Poll poll) {
+        return poll.epoch != replica.view().epoch
+                || poll.generation < committed().generation
+                || poll.revision < registry.revision()
+                || !poll.complete && settled();
+    }
+
+    /** Answers the polls for which there is news. */
+    void answerNews() {
+        if (!leading || replica.state() != Replica.State.PRIMARY) {
+            return;
+        }
+        List<HeldPoll> due = polls.stream().filter(p -> hasNews(p.poll())).toList();
+        polls.removeAll(due);
+        due.forEach(p -> p.answer().accept(reply(p.poll())));
+    }
+
+    private PollReply notPrimary() {
+        PollReply reply = new PollReply();
+        Member primary = replica.primary();
+        reply.primary = primary == null || primary.equals(replica.self()) ? "" : primary.address;
+        reply.members = addresses();
+        return reply;
+    }
+
+    private List<String> addresses() {
+        Set<String> addresses = new LinkedHashSet<>();
+        if (replica.view() != null) {
+            replica.view().group.forEach(m -> addresses.add(m.address));
+        }
+        return new ArrayList<>(addresses);
+    }
+
+    private PollReply reply(Poll poll) {
+        if (!replica.recentlyConfirmed()) {
+            return notPrimary();
+        }
+        boolean young = !settled();
+        PollReply reply = new PollReply();
+        reply.valid = true;
+        reply.primary = replica.self().address;
+        reply.members = addresses();
+        reply.epoch = replica.view().epoch;
+        reply.generation = committed().generation;
+        reply.document = poll.generation < committed().generation ? committed().document : NO_BYTES;
+        reply.revision = registry.revision();
+        reply.complete = !young;
+        reply.whole = poll.epoch != reply.epoch || !poll.complete;
+        reply.instances = registry.since(reply.whole ? 0 : poll.revision);
+        reply.balancers = balancers.count(young);
+        reply.memberRevision = balancers.revision();
+        if (reply.whole || poll.memberRevision != reply.memberRevision) {
+            reply.balancerList = balancers.members();
+        }
+        return reply;
+    }
+}
