Go on with an answer at the weights that began it, if any upstream has them

Need: while a model is upgraded, a reply whose upstream breaks could go on with other weights. Change: records keep the generation of the model that registrations tell, a reply that has begun prefers upstreams with the version that its answer named and tells it in Expect-Version; with none left it goes on with others before it is dropped, and a 421 to that field does not take the upstream for gone. Tests: ExchangeTest, three.

--- a/src/main/java/yewyoke/control/InstanceReader.java
+++ b/src/main/java/yewyoke/control/InstanceReader.java
@@ -1,5 +1,6 @@
 package yewyoke.control;
 
+import java.util.List;
 import java.util.Map;
 import yewyoke.configuration.ConfigurationException;
 import yewyoke.io.ResultCode;
@@ -13,14 +14,28 @@
     static InstanceRecord read(String id, Map<String, Object> tree) {
         String state = text(tree, "state");
         return InstanceRecord.of(
-                id,
-                text(tree, "backend"),
-                text(tree, "address"),
-                String.valueOf(tree.getOrDefault("zone", "")),
-                (int) number(tree, "capacity", 1),
-                String.valueOf(tree.getOrDefault("generation", "")),
-                state.equals("draining") ? Stage.DRAINING : Stage.READY,
-                number(tree, "sequence", 0));
+                        id,
+                        text(tree, "backend"),
+                        text(tree, "address"),
+                        String.valueOf(tree.getOrDefault("zone", "")),
+                        (int) number(tree, "capacity", 1),
+                        String.valueOf(tree.getOrDefault("generation", "")),
+                        state.equals("draining") ? Stage.DRAINING : Stage.READY,
+                        number(tree, "sequence", 0))
+                .withWeights(weights(tree));
+    }
+
+    /** The version of the weights of the first model: an upstream serves one here. */
+    private static long weights(Map<String, Object> tree) {
+        boolean named =
+                tree.get("models") instanceof List<?> models
+                        && !models.isEmpty()
+                        && models.get(0) instanceof Map<?, ?>;
+        if (!named) {
+            return InstanceRecord.UNKNOWN_WEIGHTS;
+        }
+        Object told = ((Map<?, ?>) ((List<?>) tree.get("models")).get(0)).get("generation");
+        return told instanceof Number number ? number.longValue() : InstanceRecord.UNKNOWN_WEIGHTS;
     }
 
     private static String text(Map<String, Object> tree, String name) {
--- a/src/main/java/yewyoke/dataplane/Exchange.java
+++ b/src/main/java/yewyoke/dataplane/Exchange.java
@@ -10,6 +10,7 @@
 import yewyoke.io.RequestHead;
 import yewyoke.io.ResponseHead;
 import yewyoke.io.ServerExchange;
+import yewyoke.message.InstanceRecord;
 
 /**
  * A client's request from its arrival to its one final answer, over as many upstreams as that
@@ -55,6 +56,7 @@
     private int unsent;
     private long lastEvent;
     private boolean anyEvent;
+    private long weights = InstanceRecord.UNKNOWN_WEIGHTS;
 
     Exchange(
             Router router,
@@ -97,7 +99,7 @@
             giveUp();
             return;
         }
-        Placement.Pick pick = router.placement().pick(service, prompt, tried, now);
+        Placement.Pick pick = router.placement().pick(service, prompt, tried, begunWith(), now);
         if (pick == null) {
             router.count(Counters.Event.NO_UPSTREAM);
             giveUp();
@@ -136,6 +138,9 @@
         if (lastEvent != EventSplitter.NO_ID) {
             headers.add(Names.LAST_EVENT, Long.toString(lastEvent));
         }
+        if (sameWeights(upstream)) {
+            headers.add(Names.EXPECT_VERSION, Long.toString(weights));
+        }
         int before = tenant == null ? 0 : tenant.priority() * PRIORITY_STEP;
         if (tenant != null) {
             headers.add(Names.TENANT, tenant.name());
@@ -148,6 +153,17 @@
         return headers;
     }
 
+    /** Whether an answer goes on at an upstream that has told the weights that began it. */
+    private boolean sameWeights(Upstream upstream) {
+        long begun = begunWith();
+        return begun != InstanceRecord.UNKNOWN_WEIGHTS && upstream.record().weights == begun;
+    }
+
+    /** The weights that made the events which the client has, if it has any. */
+    private long begunWith() {
+        return state == State.STREAMING ? weights : InstanceRecord.UNKNOWN_WEIGHTS;
+    }
+
     // ---- What becomes of an attempt
     // ------------------------------------------------------------------
 
@@ -189,6 +205,7 @@
         }
         if (state != State.STREAMING) {
             answer = head;
+            weights = head.headers().number(Names.VERSIONS, InstanceRecord.UNKNOWN_WEIGHTS);
         } else if (head.status() >= 300) {
             attempt.cancel();
             failed(attempt);
@@ -199,7 +216,7 @@
         router.count(Counters.Event.REJECTED);
         current = null;
         attempt.cancel();
-        if (head.status() == MISDIRECTED) {
+        if (head.status() == MISDIRECTED && !sameWeights(attempt.upstream())) {
             router.directory().gone(attempt.upstream());
         } else if (head.status() == 400) {
             answerAndEnd(400, Names.passedOn(head.headers()), NO_BYTES);
--- a/src/main/java/yewyoke/dataplane/Names.java
+++ b/src/main/java/yewyoke/dataplane/Names.java
@@ -15,6 +15,8 @@
     static final String USAGE = "Myrtleladder-Token-Usage";
     static final String PREFIX = "Myrtleladder-Prompt-Prefix";
     static final String PRIORITY = "Priority";
+    static final String VERSIONS = "Versions";
+    static final String EXPECT_VERSION = "Expect-Version";
     static final String LAST_EVENT = "Last-Event-Id";
     static final String AUTHORIZATION = "Authorization";
     static final String RETRY_AFTER = "Retry-After";
@@ -38,6 +40,7 @@
                     "myrtleladder-tenant",
                     "myrtleladder-expect-instance",
                     "priority",
+                    "expect-version",
                     "myrtleladder-deadline-ms",
                     "last-event-id");
 
--- a/src/main/java/yewyoke/dataplane/Placement.java
+++ b/src/main/java/yewyoke/dataplane/Placement.java
@@ -8,6 +8,7 @@
 import yewyoke.Reweighting;
 import yewyoke.WeightedSchedule;
 import yewyoke.configuration.Service;
+import yewyoke.message.InstanceRecord;
 
 /**
  * Which upstream a request goes to. Health, kept parts of prompts and the expected time to the
@@ -76,7 +77,12 @@
 
     /** Picks an upstream of a service, null if none can take the request now. */
     Pick pick(Service service, PromptParts prompt, Set<Upstream> tried, long now) {
-        List<Upstream> open = open(service, tried, now);
+        return pick(service, prompt, tried, InstanceRecord.UNKNOWN_WEIGHTS, now);
+    }
+
+    /** The same for an answer that goes on: one with the weights that began it, if there is one. */
+    Pick pick(Service service, PromptParts prompt, Set<Upstream> tried, long weights, long now) {
+        List<Upstream> open = withWeights(open(service, tried, now), weights);
         if (open.isEmpty()) {
             return null;
         }
@@ -103,6 +109,14 @@
         return open;
     }
 
+    private static List<Upstream> withWeights(List<Upstream> open, long weights) {
+        if (weights == InstanceRecord.UNKNOWN_WEIGHTS) {
+            return open;
+        }
+        List<Upstream> same = open.stream().filter(u -> u.record().weights == weights).toList();
+        return same.isEmpty() ? open : same;
+    }
+
     /** All balancers together keep below the upstream's bound. */
     private int connectionLimit(Service service) {
         return Math.max(2, (int) (0.9 * service.maxConnections() / balancers));
--- a/src/main/java/yewyoke/message/InstanceRecord.java
+++ b/src/main/java/yewyoke/message/InstanceRecord.java
@@ -37,6 +37,12 @@
     /** The number of the heartbeat that told this. */
     public long sequence;
 
+    /** The version of the weights is not told. */
+    public static final long UNKNOWN_WEIGHTS = -1;
+
+    /** The version of the weights of its model. */
+    public long weights = UNKNOWN_WEIGHTS;
+
     /** No ordinal was assigned. */
     public static final int UNASSIGNED = 0;
 
@@ -70,8 +76,17 @@
 
     /** The same at another stage. */
     public InstanceRecord at(Stage other) {
-        return of(id, service, address, zone, capacity, version, other, sequence)
-                .withOrdinal(ordinal);
+        InstanceRecord made = of(id, service, address, zone, capacity, version, other, sequence);
+        made.ordinal = ordinal;
+        made.weights = weights;
+        return made;
+    }
+
+    /** The same with a version of the weights. */
+    public InstanceRecord withWeights(long told) {
+        InstanceRecord made = at(stage);
+        made.weights = told;
+        return made;
     }
 
     /** The same with an ordinal. */
@@ -79,7 +94,7 @@
         if (assigned == ordinal) {
             return this;
         }
-        InstanceRecord made = of(id, service, address, zone, capacity, version, stage, sequence);
+        InstanceRecord made = at(stage);
         made.ordinal = assigned;
         return made;
     }
@@ -90,6 +105,7 @@
                 || stage != other.stage
                 || capacity != other.capacity
                 || ordinal != other.ordinal
+                || weights != other.weights
                 || !address.equals(other.address)
                 || !service.equals(other.service);
     }
--- a/src/test/java/yewyoke/dataplane/ExchangeTest.java
+++ b/src/test/java/yewyoke/dataplane/ExchangeTest.java
@@ -168,6 +168,61 @@
         assertTrue(client.ended);
     }
 
+    private void upgradeAllButOne(String former) {
+        for (int i = 1; i <= 3; i++) {
+            String id = "m" + i;
+            long weights = id.equals(former) ? 1 : 2;
+            router.directory()
+                    .take(List.of(record(id, "m", Stage.READY).withWeights(weights)), false);
+        }
+    }
+
+    @Test
+    void anAnswerGoesOnWithTheWeightsThatBeganItIfAnyUpstreamHasThem() {
+        for (int i = 0; i < 20; i++) {
+            request("/s/" + i);
+            Sent first = links.last();
+            String former = first.upstream.record().id.equals("m3") ? "m1" : "m3";
+            upgradeAllButOne(former);
+            first.head(200, Names.VERSIONS, "1");
+            first.event(1);
+            first.broken();
+            assertEquals(former, links.last().upstream.record().id);
+            assertEquals("1", links.last().header(Names.EXPECT_VERSION));
+            assertEquals("1", links.last().header(Names.LAST_EVENT));
+            links.last().head(200, Names.VERSIONS, "1");
+            links.last().event(2);
+            links.last().end();
+        }
+    }
+
+    @Test
+    void anAnswerGoesOnWithOtherWeightsBeforeItIsDropped() {
+        ScriptedClient client = request("/s/1");
+        Sent first = links.last();
+        upgradeAllButOne("none");
+        first.head(200, Names.VERSIONS, "1");
+        first.event(1);
+        first.broken();
+        assertNull(links.last().header(Names.EXPECT_VERSION));
+        links.last().head(200, Names.VERSIONS, "2");
+        links.last().event(2);
+        links.last().end();
+        assertTrue(client.ended);
+    }
+
+    @Test
+    void anUpstreamThatWasUpgradedMeanwhileIsNotTakenForGone() {
+        request("/s/1");
+        Sent first = links.last();
+        upgradeAllButOne(first.upstream.record().id.equals("m3") ? "m1" : "m3");
+        first.head(200, Names.VERSIONS, "1");
+        first.event(1);
+        first.broken();
+        links.last().head(421);
+        assertEquals(3, router.directory().ready("m").size());
+    }
+
     @Test
     void aStreamThatMayNotBeResumedIsBrokenOffWithItsUpstream() {
         ScriptedClient client = request("/n/1");
