End a stream's connection when a balancer stops, and refuse what comes late

Cause: HttpExchange.end kept the connection when the head, sent before SIGTERM, had not said close, so the client sent its next request on it; and the router took requests until the process ended. Ruled out: new connections from the platform (readiness was 503 for 3 s). Change: a stream that ends while the server closes ends its connection; 2.5 s after SIGTERM requests are refused at once with Retry-After 0.01. Tests: HttpTest through a socket, ExchangeTest. A race of HttpTest itself is mended: it connected outside of the loop, so a listener could be told before the connection was noted, and then the test waited without end; now it connects on the loop, and each wait is bounded.

--- a/src/main/java/yewyoke/dataplane/Main.java
+++ b/src/main/java/yewyoke/dataplane/Main.java
@@ -162,6 +162,9 @@
     private void awaitEnd(long earliest, long latest) {
         long now = loop.now();
         quietSince = front.unanswered() > 0 ? now : quietSince;
+        if (now >= earliest) {
+            router.stopTaking();
+        }
         if (now >= latest || now >= earliest && now - quietSince >= LAST_BYTES) {
             LOG.info("ends with {} under way; {}", router.underWay(), router.counters());
             ended.countDown();
--- a/src/main/java/yewyoke/dataplane/Router.java
+++ b/src/main/java/yewyoke/dataplane/Router.java
@@ -20,6 +20,7 @@
     private static final long CHECK = 50;
     private static final long PERIOD = 250;
     private static final long NOT_READY_PAUSE = 300;
+    private static final long LEAVING_PAUSE = 10; // other balancers are there
     private static final long LONGEST_QUOTA_PAUSE = 2_000;
     private static final String KEY_SCHEME = "Token ";
 
@@ -35,6 +36,7 @@
     private final SplittableRandom random;
     private Configuration configuration;
     private long nextPeriod;
+    private boolean taking = true;
 
     Router(
             Scheduler scheduler,
@@ -90,12 +92,17 @@
     // ---- Requests
     // ------------------------------------------------------------------------------------
 
+    /** From now on requests are refused at once: this balancer ends before they could. */
+    void stopTaking() {
+        taking = false;
+    }
+
     /** Takes a client's request. */
     void handle(ServerExchange client) {
         counters.count(Counters.Event.REQUEST);
-        if (configuration == null) {
-            client.respond(
-                    503, new Headers().add(Names.RETRY_AFTER, seconds(NOT_READY_PAUSE)), NO_BYTES);
+        if (configuration == null || !taking) {
+            long pause = taking ? NOT_READY_PAUSE : LEAVING_PAUSE;
+            client.respond(503, new Headers().add(Names.RETRY_AFTER, seconds(pause)), NO_BYTES);
             return;
         }
         Headers headers = client.head().headers();
--- a/src/main/java/yewyoke/io/HttpExchange.java
+++ b/src/main/java/yewyoke/io/HttpExchange.java
@@ -120,7 +120,7 @@
             return;
         }
         become(State.ENDED);
-        boolean keep = !"close".equalsIgnoreCase(response.getHeader("Connection"));
+        boolean keep = !"close".equalsIgnoreCase(response.getHeader("Connection")) && !closesNow();
         write(
                 HttpContent.builder(response).content(wrap(NO_BYTES, 0, 0)).last(true).build(),
                 !keep);
@@ -159,6 +159,11 @@
         state = next;
     }
 
+    /** The server closes although the head of the answer, sent before, did not say so. */
+    private boolean closesNow() {
+        return owner.server().closing() && !owner.hasWaiting();
+    }
+
     private boolean keeps() {
         return keepAlive && !owner.server().closing();
     }
--- a/src/main/java/yewyoke/io/ServerConnection.java
+++ b/src/main/java/yewyoke/io/ServerConnection.java
@@ -115,6 +115,11 @@
         }
     }
 
+    /** Whether a request that was read waits behind the current one. */
+    boolean hasWaiting() {
+        return !waiting.isEmpty();
+    }
+
     boolean isIdle() {
         return current == null && receivingSince == NOT_RECEIVING;
     }
--- a/src/test/java/yewyoke/dataplane/ExchangeTest.java
+++ b/src/test/java/yewyoke/dataplane/ExchangeTest.java
@@ -365,6 +365,22 @@
         assertEquals(0, router.underWay());
     }
 
+    @Test
+    void aBalancerAboutToEndRefusesAtOnceAndFinishesWhatItHas() {
+        ScriptedClient before = request("/s/1");
+        Sent first = links.last();
+        first.head(200);
+        first.event(1);
+        router.stopTaking();
+        ScriptedClient late = request("/s/2");
+        assertEquals(503, late.status);
+        assertNotNull(late.headers.get(Names.RETRY_AFTER));
+        assertEquals(1, links.sent.size());
+        first.event(2);
+        first.end();
+        assertTrue(before.ended);
+    }
+
     @Test
     void aDrainingUpstreamGetsNothingMoreAndNeverComesBack() {
         router.directory()
--- a/src/test/java/yewyoke/io/HttpTest.java
+++ b/src/test/java/yewyoke/io/HttpTest.java
@@ -8,14 +8,17 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** The HTTP of clients and upstreams through real sockets. */
+@Timeout(60)
 class HttpTest {
     private static final byte[] NONE = {};
     private EventLoop loop;
@@ -105,6 +108,26 @@
         }
     }
 
+    @Test
+    void aStreamBegunBeforeTheServerClosesEndsItsConnection() throws Exception {
+        LinkedBlockingQueue<ServerExchange> taken = new LinkedBlockingQueue<>();
+        HttpServer server =
+                serve(
+                        e -> {
+                            e.begin(200, new Headers());
+                            e.write(new byte[] {'a'}, 0, 1);
+                            taken.add(e);
+                        });
+        try (Socket socket = client()) {
+            send(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+            readUntil(socket, "1\r\na\r\n");
+            ServerExchange exchange = taken.poll(5, TimeUnit.SECONDS);
+            loop.execute(server::closeGracefully);
+            loop.execute(exchange::end);
+            assertEquals("0\r\n\r\n<end>", readUntil(socket, null));
+        }
+    }
+
     @Test
     void anAbortedStreamDoesNotLookWhole() throws Exception {
         serve(
@@ -179,12 +202,25 @@
         };
     }
 
-    private HttpConnection ask(int to, RequestHead head, byte[] body) {
-        HttpConnection[] made = new HttpConnection[1];
-        made[0] =
-                HttpConnection.connect(
-                        loop, "127.0.0.1", to, recorder(l -> made[0].send(head, body)));
-        return made[0];
+    /** Connects on the loop, as programs do: a listener is told only after connect has returned. */
+    private HttpConnection ask(int to, RequestHead head, byte[] body) throws Exception {
+        CompletableFuture<HttpConnection> made = new CompletableFuture<>();
+        loop.execute(
+                () ->
+                        made.complete(
+                                HttpConnection.connect(
+                                        loop,
+                                        "127.0.0.1",
+                                        to,
+                                        recorder(l -> made.join().send(head, body)))));
+        return made.get(5, TimeUnit.SECONDS);
+    }
+
+    private static Socket accept(ServerSocket upstream) throws Exception {
+        upstream.setSoTimeout(5_000);
+        Socket peer = upstream.accept();
+        peer.setSoTimeout(5_000);
+        return peer;
     }
 
     private String next() throws InterruptedException {
@@ -202,7 +238,7 @@
                                     "/p?x=1",
                                     new Headers().add("Host", "h").add("X-A", "1")),
                             "abc".getBytes(StandardCharsets.US_ASCII));
-            try (Socket peer = upstream.accept()) {
+            try (Socket peer = accept(upstream)) {
                 String request = readUntil(peer, "abc");
                 assertTrue(request.startsWith("POST /p?x=1 HTTP/1.1\r\n"), request);
                 assertTrue(
@@ -246,7 +282,7 @@
                         upstream.getLocalPort(),
                         new RequestHead("GET", "/", new Headers().add("Host", "h")),
                         NONE);
-                try (Socket peer = upstream.accept()) {
+                try (Socket peer = accept(upstream)) {
                     readUntil(peer, "\r\n\r\n");
                     send(peer, cut);
                 }
