--- a/src/test/java/yewyoke/lab/experiment/ExperimentTest.java
+++ b/src/test/java/yewyoke/lab/experiment/ExperimentTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -81,9 +83,22 @@
     @Test
     void theExperimentsThatComeWithTheProgramCanBeRead() throws Exception {
         try (Stream<Path> files = Files.list(Path.of("experiments"))) {
-            for (Path file : files.toList()) {
+            for (Path file : files.filter(Files::isRegularFile).toList()) {
                 assertTrue(Experiment.read(file).micros() > 0, file.toString());
             }
         }
     }
+
+    /** The folder for the fleet's days: they are of the users' bench, so only their syntax is read here. */
+    @Test
+    void theDaysOfTheFleetAreNamedWithTrafficAndWhatHappens() throws Exception {
+        try (Stream<Path> files = Files.list(Path.of("experiments", "system"))) {
+            for (Path file : files.toList()) {
+                JsonNode day = new TomlMapper().readTree(file.toFile()).path("day").path(0);
+                assertTrue(!day.path("name").asText().isEmpty(), file.toString());
+                assertTrue(day.path("traffic").size() > 0, file.toString());
+                assertTrue(day.path("plan").size() + day.path("faults").size() > 0, file.toString());
+            }
+        }
+    }
 }
