--- a/src/main/java/yewyoke/control/UpgradeStatus.java
+++ b/src/main/java/yewyoke/control/UpgradeStatus.java
@@ -39,12 +39,11 @@
         }
 
         private void add(InstanceRecord record, int requests) {
-            switch (record.stage) {
-                case READY -> ready.merge(record.version, 1, Integer::sum);
-                case LOST -> lost++;
-                case DRAINING -> draining++;
-                case GONE -> {}
+            if (record.stage == Stage.READY) {
+                ready.merge(record.version, 1, Integer::sum);
             }
+            lost += record.stage == Stage.LOST ? 1 : 0;
+            draining += record.stage == Stage.DRAINING ? 1 : 0;
             boolean unplaced = record.ordinal == InstanceRecord.UNASSIGNED;
             withoutOrdinal += record.stage == Stage.READY && unplaced ? 1 : 0;
             underWay += record.leaving() ? requests : 0;
--- a/src/main/java/yewyoke/fleet/agree/Agreement.java
+++ b/src/main/java/yewyoke/fleet/agree/Agreement.java
@@ -734,7 +734,7 @@
         private final Map<String, Life> votes = new TreeMap<>();
         private int votesOfNew;
         private long asked = -1;
-        /** Since when each round of questions has found the whole council willing to found; -1 if none did. */
+        /** Since when each round of questions found the whole council willing to found; -1 if none did. */
         private long willingSince = -1;
         private boolean candidate;
         private long begunAt;
@@ -854,7 +854,7 @@
                     && said.values().stream().allMatch(Message::ripe);
         }
 
-        /** Lives with a vote in the newest view known here that answered, this one among them: they may elect. */
+        /** Lives with a vote in the newest view known here that answered, or this one: they may elect. */
         private long votersHere() {
             return (voter() ? 1 : 0) + said.values().stream().filter(m -> log.view().has(m.from())).count();
         }
--- a/src/test/java/yewyoke/fleet/agree/AgreementTest.java
+++ b/src/test/java/yewyoke/fleet/agree/AgreementTest.java
@@ -241,7 +241,7 @@
         assertEquals(1, fleet.foundings.size());
     }
 
-    /** Two that were voted out and hear everybody again leave it to the three with a vote to elect a leader. */
+    /** Two that were voted out and hear everybody again leave it to the three voters to elect a leader. */
     @ParameterizedTest
     @ValueSource(longs = {1, 101, 201})
     void thoseVotedOutBeginNothingAnewWhileAMajorityOfVotersLives(long first) {
