Change the group by agreement without a weaker group between, and leave before ending

Need: a second loss after a replacement left no majority for ever. A joiner at a new address made the group larger beside a dead member, which stayed for 8 s; a process asked to end ended after 0.3 s whatever depended on it; a new view's replicas got the document but not the departures of upstreams.

The model of the control side found more: a restarted member claimed to hear a primary because of its own start and so refused trials for 2 s; a refused trial was never asked again; a leaver became primary again after another leaver resigned to it, and ended as such; the departure of an upstream that the primary did not know was acknowledged and forgotten. Ruled out: loss of acknowledged orders (none in 20,000 schedules before the mends).

Change: GroupPlan (a joiner takes a silent or leaving member's place in the same change; silence counts 3/8 of catch_up_s), Leave and Departure, MemberContacts (an answer counts from when its question was sent), departures on the disks of all replicas before their acknowledgement, Install with the upstreams, a member that hears nobody asks round, 307 only to a primary that was heard itself. Replica is split into Voter, Leadership, StateKeeper, GroupRequests, Departure.

--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -1,11 +1,8 @@
 package yewyoke.control;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -17,7 +14,6 @@
 import yewyoke.message.Acknowledge;
 import yewyoke.message.InstanceRecord;
 import yewyoke.message.InstanceRecord.Stage;
-import yewyoke.message.Member;
 import yewyoke.message.Message;
 import yewyoke.message.Poll;
 import yewyoke.message.QuotaAsk;
@@ -32,21 +28,18 @@
  */
 public final class ControlPlane implements Replica.Listener {
     private static final Logger LOG = LogManager.getLogger(ControlPlane.class);
-    private static final long SHARE = 500;
     private static final long TICK = 100;
     private static final long FROZEN = 400;
     private static final long SAVE_PAUSE = 700;
     private static final int SILENT_HEARTBEATS = 3;
 
     private final Scheduler scheduler;
-    private final Peers peers;
-    private final int tolerated;
     private final long heartbeatMs;
     private final Map<String, String> regionOfZone;
     private final InstanceRegistry registry = new InstanceRegistry();
     private final BalancerDirectory balancers = new BalancerDirectory();
     private final QuotaBank bank;
-    private final HintedHandoff handoff;
+    private final InstanceSharing sharing;
     private final ConfigurationOrders orders;
     private final PollDistribution polls;
     private Replica replica;
@@ -59,17 +52,14 @@
     public ControlPlane(
             Scheduler scheduler,
             Peers peers,
-            int tolerated,
             long heartbeatMs,
             double quotaOverage,
             double quotaSlack,
             Map<String, String> regionOfZone) {
         this.regionOfZone = regionOfZone;
         this.bank = new QuotaBank(quotaOverage, quotaSlack);
-        this.handoff = new HintedHandoff(scheduler, peers);
+        this.sharing = new InstanceSharing(scheduler, peers);
         this.scheduler = scheduler;
-        this.peers = peers;
-        this.tolerated = tolerated;
         this.heartbeatMs = heartbeatMs;
         this.orders = new ConfigurationOrders(scheduler, this::committed);
         this.polls =
@@ -91,6 +81,7 @@
         replica = attached;
         orders.attach(attached);
         polls.attach(attached);
+        sharing.attach(attached);
         registry.inherit(attached.instancesAtStart(), scheduler.now());
         scheduler.schedule(TICK, this::tick);
     }
@@ -107,6 +98,7 @@
             bank.clear();
         }
         leading = true;
+        sharing.lead();
         registry.inherit(inherited, scheduler.now());
         orders.lead();
         LOG.info(
@@ -121,11 +113,16 @@
     @Override
     public void lostPrimacy() {
         leading = false;
-        handoff.clear();
+        sharing.follow();
         orders.follow();
         polls.follow();
     }
 
+    @Override
+    public void inherit(Collection<InstanceRecord> records) {
+        records.forEach(record -> registry.take(record, scheduler.now()));
+    }
+
     private void tick() {
         scheduler.schedule(TICK, this::tick);
         long now = scheduler.now();
@@ -156,7 +153,7 @@
         if (!assigned.isEmpty()) {
             for (InstanceRecord record : assigned) {
                 LOG.info("{} in {} has ordinal {}", record.id, record.zone, record.ordinal);
-                share(record, safe -> {});
+                sharing.share(record);
             }
             polls.answerNews();
             saveSoon();
@@ -229,7 +226,8 @@
         InstanceRecord record;
         if (exchange.head().method().equals("DELETE")) {
             InstanceRecord known = registry.get(id);
-            record = known == null ? null : known.at(Stage.GONE);
+            // others may know what this node does not: the departure has to reach them too
+            record = known == null ? InstanceRecord.departed(id) : known.at(Stage.GONE);
         } else {
             try {
                 record = InstanceReader.read(id, Json.readObject(exchange.body()));
@@ -238,10 +236,6 @@
                 return;
             }
         }
-        if (record == null) {
-            CallerAnswers.acknowledge(exchange);
-            return;
-        }
         boolean news = registry.take(record, scheduler.now());
         if (news) {
             polls.answerNews();
@@ -249,7 +243,7 @@
         }
         boolean leaves = registry.get(id).leaving();
         if (leaves) {
-            share(
+            sharing.shareDurably(
                     registry.get(id),
                     safe -> {
                         if (safe) {
@@ -261,7 +255,7 @@
             return;
         }
         if (news) {
-            share(registry.get(id), safe -> {});
+            sharing.share(registry.get(id));
         }
         CallerAnswers.acknowledge(exchange);
     }
@@ -282,42 +276,6 @@
         }
     }
 
-    /**
-     * Gives a record to the other nodes; told true once as many have it as may be lost at one time.
-     */
-    private void share(InstanceRecord record, Consumer<Boolean> done) {
-        List<Member> others = new ArrayList<>(replica.view().group);
-        others.remove(replica.self());
-        Set<Member> taken = new HashSet<>();
-        Set<Member> answered = new HashSet<>();
-        boolean[] told = {false};
-        int wanted = Math.min(tolerated, others.size());
-        if (wanted == 0) {
-            done.accept(true);
-            return;
-        }
-        ShareInstances message = ShareInstances.of(replica.view().epoch, List.of(record));
-        for (Member other : others) {
-            peers.call(
-                    other.address,
-                    message,
-                    SHARE,
-                    answer -> {
-                        answered.add(other);
-                        if (answer instanceof Acknowledge reply && reply.taken) {
-                            taken.add(other);
-                        } else if (leading) {
-                            handoff.keep(other, record, replica.view().epoch);
-                        }
-                        boolean safe = taken.size() >= wanted;
-                        if (!told[0] && (safe || answered.size() == others.size())) {
-                            told[0] = true;
-                            done.accept(safe);
-                        }
-                    });
-        }
-    }
-
     // ---- Messages of the fleet
     // -----------------------------------------------------------------------
 
@@ -329,14 +287,24 @@
             boolean valid = leading && replica.recentlyConfirmed();
             answer.accept(valid ? bank.grant(ask, scheduler.now()) : QuotaGrant.of(false, 0, 0));
         } else if (message instanceof ShareInstances shared) {
-            boolean current = shared.epoch >= replica.epoch();
-            if (current) {
-                shared.instances.forEach(r -> registry.take(r, scheduler.now()));
-                saveSoon();
-            }
-            answer.accept(Acknowledge.of(current, replica.epoch(), replica.self()));
+            take(shared, answer);
         } else if (!replica.receive(message, answer)) {
             answer.accept(null);
         }
     }
+
+    private void take(ShareInstances shared, Consumer<Message> answer) {
+        if (shared.epoch < replica.epoch()) {
+            answer.accept(Acknowledge.of(false, replica.epoch(), replica.self()));
+            return;
+        }
+        inherit(shared.instances);
+        if (shared.durably) {
+            replica.saveInstancesNow(
+                    ok -> answer.accept(Acknowledge.of(ok, replica.epoch(), replica.self())));
+        } else {
+            saveSoon();
+            answer.accept(Acknowledge.of(true, replica.epoch(), replica.self()));
+        }
+    }
 }
--- a/src/main/java/yewyoke/control/HintedHandoff.java
+++ b/src/main/java/yewyoke/control/HintedHandoff.java
@@ -65,7 +65,7 @@
             List<InstanceRecord> records = new ArrayList<>(hints.get(member).values());
             peers.call(
                     member.address,
-                    ShareInstances.of(epoch, records),
+                    ShareInstances.of(epoch, records, false),
                     ANSWER,
                     answer -> {
                         if (answer instanceof Acknowledge reply && reply.taken) {
--- a/src/main/java/yewyoke/control/Main.java
+++ b/src/main/java/yewyoke/control/Main.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import yewyoke.io.EventLoop;
@@ -21,7 +22,8 @@
 /** The control plane's program. */
 public final class Main {
     private static final Logger LOG = LogManager.getLogger(Main.class);
-    private static final long HAND_OVER = 300;
+    private static final long LAST_ANSWERS = 150;
+    private static final long GRACE_MARGIN = 1_000;
 
     private Main() {}
 
@@ -36,15 +38,9 @@
         EventLoop loop = new EventLoop();
         Path folder = Path.of(settings.dataFolder());
         Replica replica = begin(settings, loop, new GenerationStore(folder));
-        java.util.concurrent.CountDownLatch ended = new java.util.concurrent.CountDownLatch(1);
+        CountDownLatch ended = new CountDownLatch(1);
         Signals.on(
-                "TERM",
-                () ->
-                        loop.execute(
-                                () -> {
-                                    replica.resign("asked to end");
-                                    loop.schedule(HAND_OVER, ended::countDown);
-                                }));
+                "TERM", () -> loop.execute(() -> leave(settings.bounds(), loop, replica, ended)));
         Signals.on(
                 "HUP", () -> loop.execute(() -> LOG.info("settings are read at each start only")));
         LOG.info("control node {} at {}", settings.nodeName(), settings.control());
@@ -52,6 +48,17 @@
         Runtime.getRuntime().halt(0);
     }
 
+    /** Ends once the group goes on without this node; asked a second time, at once. */
+    private static void leave(
+            NodeSettings.Bounds bounds, EventLoop loop, Replica replica, CountDownLatch ended) {
+        if (replica.leaving()) {
+            ended.countDown();
+            return;
+        }
+        long within = Math.min(bounds.catchUpMs(), bounds.graceMs() - GRACE_MARGIN);
+        replica.leave(within, released -> loop.schedule(LAST_ANSWERS, ended::countDown));
+    }
+
     /** Puts the parts of a node together and begins to serve on a loop that is started here. */
     static Replica begin(NodeSettings settings, EventLoop loop, GenerationStore store) {
         StoredState onDisk = store.load();
@@ -64,7 +71,6 @@
                 new ControlPlane(
                         loop,
                         peers,
-                        settings.toleratedMachines(),
                         settings.heartbeatMs(),
                         bounds.quotaOverage(),
                         bounds.quotaSlack(),
@@ -100,6 +106,11 @@
             seeds.add(Member.of(seed.host() + ":" + port, seed.toString(), ""));
         }
         Member self = Member.of(settings.ip() + ":" + port, settings.control().toString(), "");
-        return new ReplicaOptions(self, settings.toleratedMachines(), settings.bootstrap(), seeds);
+        return new ReplicaOptions(
+                self,
+                settings.toleratedMachines(),
+                settings.bootstrap(),
+                seeds,
+                settings.bounds().catchUpMs());
     }
 }
--- a/src/main/java/yewyoke/control/Rehearsal.java
+++ b/src/main/java/yewyoke/control/Rehearsal.java
@@ -91,7 +91,7 @@
                         0,
                         new NodeSettings.Limits(256, 1_024),
                         new NodeSettings.Bounds(
-                                2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 100));
+                                2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 100, 4_000));
         Main.begin(settings, loop, store);
         loop.execute(() -> loop.schedule(STEP, () -> callAll(store)));
     }
--- a/src/main/java/yewyoke/control/UpgradeStatus.java
+++ b/src/main/java/yewyoke/control/UpgradeStatus.java
@@ -71,6 +71,9 @@
             Map<String, String> regionOfZone) {
         Map<List<String>, ZoneStatus> zones = new TreeMap<>(UpgradeStatus::compare);
         for (InstanceRecord record : records) {
+            if (record.service.isEmpty()) {
+                continue; // only its departure is known
+            }
             ZoneStatus status =
                     zones.computeIfAbsent(
                             List.of(record.service, record.zone),
--- a/src/main/java/yewyoke/dataplane/Rehearsal.java
+++ b/src/main/java/yewyoke/dataplane/Rehearsal.java
@@ -99,7 +99,7 @@
                         1,
                         new NodeSettings.Limits(256, 1_024),
                         new NodeSettings.Bounds(
-                                2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 190_000));
+                                2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 190_000, 4_000));
         Main.beginOn(settings, freePort(), loop);
         for (int i = 1; i <= ROUNDS; i++) {
             loop.schedule(STEP + i * 20L, this::callAll);
--- a/src/main/java/yewyoke/message/Install.java
+++ b/src/main/java/yewyoke/message/Install.java
@@ -1,5 +1,8 @@
 package yewyoke.message;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /** The whole state for a member that is to be a replica of the view of this epoch. */
 public final class Install implements Message {
     /** The epoch. */
@@ -8,11 +11,15 @@
     /** The state. */
     public Snapshot snapshot;
 
+    /** The upstreams that the candidate knows, departures among them. */
+    public List<InstanceRecord> instances = new ArrayList<>();
+
     /** Creates a message from its parts. */
-    public static Install of(long epoch, Snapshot snapshot) {
+    public static Install of(long epoch, Snapshot snapshot, List<InstanceRecord> instances) {
         Install message = new Install();
         message.epoch = epoch;
         message.snapshot = snapshot;
+        message.instances = new ArrayList<>(instances);
         return message;
     }
 }
--- a/src/main/java/yewyoke/message/InstanceRecord.java
+++ b/src/main/java/yewyoke/message/InstanceRecord.java
@@ -74,6 +74,11 @@
         return made;
     }
 
+    /** The departure of an incarnation of which nothing else is known. */
+    public static InstanceRecord departed(String id) {
+        return of(id, "", "", "", 0, "", Stage.GONE, 0);
+    }
+
     /** The same at another stage. */
     public InstanceRecord at(Stage other) {
         InstanceRecord made = of(id, service, address, zone, capacity, version, other, sequence);
--- a/src/main/java/yewyoke/message/MessageCodec.java
+++ b/src/main/java/yewyoke/message/MessageCodec.java
@@ -28,7 +28,9 @@
                     PollReply.class,
                     QuotaAsk.class,
                     QuotaGrant.class,
-                    Alive.class);
+                    Alive.class,
+                    Leave.class,
+                    LeaveReply.class);
     private static final int BUFFER = 1_024;
 
     private MessageCodec() {}
--- a/src/main/java/yewyoke/message/ShareInstances.java
+++ b/src/main/java/yewyoke/message/ShareInstances.java
@@ -11,9 +11,13 @@
     /** The records. */
     public List<InstanceRecord> instances = new ArrayList<>();
 
+    /** Whether the answer has to wait until the records are on the disk. */
+    public boolean durably;
+
     /** Creates a message from its parts. */
-    public static ShareInstances of(long epoch, List<InstanceRecord> instances) {
+    public static ShareInstances of(long epoch, List<InstanceRecord> instances, boolean durably) {
         ShareInstances message = new ShareInstances();
+        message.durably = durably;
         message.epoch = epoch;
         message.instances = new ArrayList<>(instances);
         return message;
--- a/src/main/java/yewyoke/message/Snapshot.java
+++ b/src/main/java/yewyoke/message/Snapshot.java
@@ -5,6 +5,9 @@
 
 /** The replicated state: the operator's document and the orders that were taken. */
 public final class Snapshot {
+    /** How many orders are remembered, so that one that arrives again is known. */
+    public static final int MOST_ORDERS = 2_000;
+
     /** The document as compressed JSON, empty before the first. */
     public byte[] document = {};
 
@@ -22,4 +25,12 @@
         snapshot.orders = orders;
         return snapshot;
     }
+
+    /** The state after another order. */
+    public Snapshot with(byte[] nextDocument, long nextGeneration, String order) {
+        List<String> next = new ArrayList<>(orders);
+        next.add(order);
+        int forgotten = Math.max(0, next.size() - MOST_ORDERS);
+        return of(nextDocument, nextGeneration, next.subList(forgotten, next.size()));
+    }
 }
--- a/src/main/java/yewyoke/process/NodeSettings.java
+++ b/src/main/java/yewyoke/process/NodeSettings.java
@@ -47,7 +47,8 @@
             int budgetSlack,
             long contactMs,
             double quotaOverage,
-            double quotaSlack) {}
+            double quotaSlack,
+            long catchUpMs) {}
 
     /** Reads the file that the environment names; the file may have changed since the start. */
     public static NodeSettings fromEnvironment() {
@@ -120,7 +121,8 @@
                 node.path("budget_slack").asInt(0),
                 node.path("contact_ms").asLong(3_000),
                 node.path("quota_overage").asDouble(0),
-                node.path("quota_slack").asDouble(0));
+                node.path("quota_slack").asDouble(0),
+                Math.round(node.path("catch_up_s").asDouble(4) * 1_000));
     }
 
     private static String text(JsonNode node, String name) {
--- a/src/main/java/yewyoke/replication/Candidacy.java
+++ b/src/main/java/yewyoke/replication/Candidacy.java
@@ -32,7 +32,7 @@
     }
 
     private final Replica replica;
-    private final List<Member> nextGroup;
+    private final GroupPlan plan;
     private final boolean baseChosen;
     private final boolean withTrial;
     private final long begunAt;
@@ -43,6 +43,7 @@
     private Step step = Step.TRIAL;
     private long epoch;
     private long enoughSince;
+    private long askedAt;
     private boolean baseMoved;
     private View base;
     private View view;
@@ -51,14 +52,15 @@
      * {@code baseChosen} says that the view to start from is known to hold, so that its group may
      * change.
      */
-    Candidacy(Replica replica, List<Member> nextGroup, boolean baseChosen, boolean withTrial) {
+    Candidacy(Replica replica, GroupPlan plan, boolean baseChosen, boolean withTrial) {
         this.replica = replica;
         this.baseChosen = baseChosen;
-        this.nextGroup = nextGroup;
+        this.plan = plan;
         this.withTrial = withTrial;
         this.begunAt = replica.scheduler().now();
-        this.base = replica.view();
-        this.epoch = Math.max(replica.highestEpoch(), base.epoch) + 1;
+        View accepted = replica.stored().accepted;
+        this.base = accepted == null ? replica.view() : accepted;
+        this.epoch = replica.highestEpoch() + 1;
     }
 
     void begin() {
@@ -80,6 +82,9 @@
     }
 
     void tick(long now) {
+        if (step == Step.TRIAL && now - askedAt >= ReplicaTimes.TRIAL_AGAIN) {
+            asked.clear(); // who heard a primary a moment ago may not any more
+        }
         if (step == Step.TRIAL || step == Step.PREPARING) {
             askAll();
             evaluatePromises();
@@ -90,16 +95,20 @@
     }
 
     private void askAll() {
+        if (asked.isEmpty()) {
+            askedAt = replica.scheduler().now();
+        }
         ask(base.group);
         ask(base.previous);
         if (step == Step.PREPARING) {
-            ask(nextGroup);
+            ask(plan.next());
         }
     }
 
     private void ask(List<Member> members) {
         boolean trial = step == Step.TRIAL;
         long asking = epoch;
+        long sentAt = replica.scheduler().now();
         for (Member member : members) {
             if (member.address.equals(replica.self().address) || !asked.add(member.address)) {
                 continue;
@@ -111,7 +120,7 @@
                             ReplicaTimes.CALL,
                             answer -> {
                                 if (answer instanceof Promise promise && promise.member != null) {
-                                    promised(promise, trial);
+                                    promised(promise, trial, sentAt);
                                 } else if (asking == epoch) {
                                     asked.remove(member.address);
                                 }
@@ -119,7 +128,7 @@
         }
     }
 
-    private void promised(Promise promise, boolean trial) {
+    private void promised(Promise promise, boolean trial, long sentAt) {
         if (step != (trial ? Step.TRIAL : Step.PREPARING)) {
             return;
         }
@@ -129,6 +138,9 @@
         }
         if (promise.granted) {
             promises.put(promise.member, promise);
+            if (!trial) {
+                replica.answered(promise.member, sentAt);
+            }
         } else if (promise.promised >= epoch) {
             // Another epoch is ahead: the next attempt begins above it.
             replica.lost("epoch " + promise.promised + " is ahead", true);
@@ -186,9 +198,11 @@
             return;
         }
         View last = lastAccepted();
+        if (last == null) {
+            return;
+        }
         if (!last.replicas.contains(replica.self())) {
-            replica.know(last);
-            replica.lost("not a replica of " + last, false);
+            replica.notEligible(last);
             return;
         }
         if (last.epoch > base.epoch) {
@@ -207,7 +221,7 @@
     }
 
     private void choose() {
-        List<Member> group = mayChangeGroup() ? nextGroup : base.group;
+        List<Member> group = mayChangeGroup() ? plan.next(promises::containsKey) : base.group;
         List<Member> previous = mayChangeGroup() ? base.group : base.previous;
         List<Member> candidates = new ArrayList<>();
         for (Member member : base.replicas) {
@@ -258,7 +272,7 @@
             replica.peers()
                     .call(
                             member.address,
-                            Install.of(epoch, replica.stored().snapshot),
+                            Install.of(epoch, replica.stored().snapshot, inherited()),
                             ReplicaTimes.DISK_PATIENCE,
                             answer -> {
                                 if (step != Step.INSTALLING) {
@@ -293,6 +307,7 @@
                 });
         Set<Member> all = new LinkedHashSet<>(view.group);
         all.addAll(view.previous);
+        long sentAt = replica.scheduler().now();
         for (Member member : all) {
             if (!member.equals(replica.self())) {
                 replica.peers()
@@ -305,6 +320,7 @@
                                             && reply.taken
                                             && reply.member != null) {
                                         accepted.add(reply.member);
+                                        replica.answered(reply.member, sentAt);
                                         winIfAccepted();
                                     }
                                 });
--- /dev/null
+++ b/src/main/java/yewyoke/replication/Voter.java
@@ -0,0 +1,144 @@
+package yewyoke.replication;
+
+import java.util.ArrayList;
+import java.util.function.Consumer;
+import yewyoke.message.Accept;
+import yewyoke.message.Acknowledge;
+import yewyoke.message.Heartbeat;
+import yewyoke.message.Install;
+import yewyoke.message.Member;
+import yewyoke.message.Message;
+import yewyoke.message.Prepare;
+import yewyoke.message.Promise;
+import yewyoke.message.Replicate;
+import yewyoke.message.Snapshot;
+import yewyoke.message.StoredState;
+import yewyoke.message.View;
+
+/**
+ * What a member answers to candidates and primaries. It takes nothing of an epoch below the one it
+ * promised, and says yes only once what it says is on its disk.
+ */
+final class Voter {
+    private final Replica replica;
+    private Member promisedTo;
+
+    Voter(Replica replica) {
+        this.replica = replica;
+    }
+
+    /** Answers a message of the protocol; whether it is one for a voter. */
+    boolean receive(Message message, Consumer<Message> answer) {
+        if (message instanceof Prepare prepare) {
+            prepare(prepare, answer);
+        } else if (message instanceof Install install) {
+            install(install, answer);
+        } else if (message instanceof Accept accept) {
+            accept(accept.view, answer);
+        } else if (message instanceof Replicate replicate) {
+            replicate(replicate, answer);
+        } else if (message instanceof Heartbeat heartbeat) {
+            heartbeat(heartbeat.view, answer);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private StoredState stored() {
+        return replica.stored();
+    }
+
+    private Acknowledge reply(boolean taken) {
+        return Acknowledge.of(taken, stored().promised, replica.self());
+    }
+
+    private void saveThenAcknowledge(StoredState next, Consumer<Message> answer) {
+        replica.saveState(next, ok -> answer.accept(ok ? reply(true) : null));
+    }
+
+    private void prepare(Prepare message, Consumer<Message> answer) {
+        if (message.trial) {
+            boolean free = message.epoch > stored().promised && !replica.hears(message.candidate);
+            answer.accept(promise(free));
+        } else if (message.epoch > stored().promised) {
+            promisedTo = message.candidate;
+            replica.yieldTo(message.epoch, message.candidate);
+            savePromise(stored().withPromised(message.epoch), answer);
+        } else if (message.epoch == stored().promised && message.candidate.equals(promisedTo)) {
+            savePromise(stored(), answer); // asked again: the answer was lost
+        } else {
+            answer.accept(promise(false));
+        }
+    }
+
+    private void savePromise(StoredState next, Consumer<Message> answer) {
+        long epoch = next.promised;
+        replica.saveState(
+                next,
+                ok -> {
+                    boolean holds = stored().promised == epoch;
+                    answer.accept(ok ? promise(holds) : null);
+                });
+    }
+
+    private Promise promise(boolean granted) {
+        Promise promise = new Promise();
+        promise.granted = granted;
+        promise.promised = stored().promised;
+        promise.member = replica.self();
+        promise.accepted = stored().accepted;
+        promise.instances = granted ? new ArrayList<>(replica.instances()) : new ArrayList<>();
+        return promise;
+    }
+
+    private void install(Install message, Consumer<Message> answer) {
+        if (message.epoch != stored().promised) {
+            answer.accept(reply(false));
+            return;
+        }
+        replica.heardFromCandidate();
+        replica.inherit(message.instances);
+        replica.saveCopy(
+                stored().withSnapshot(message.snapshot),
+                ok -> answer.accept(ok ? reply(true) : null));
+    }
+
+    private void accept(View view, Consumer<Message> answer) {
+        if (view.epoch < stored().promised) {
+            answer.accept(reply(false));
+            return;
+        }
+        replica.adopt(view);
+        saveThenAcknowledge(stored().withAccepted(view), answer);
+    }
+
+    private void replicate(Replicate message, Consumer<Message> answer) {
+        View accepted = stored().accepted;
+        boolean current =
+                accepted != null
+                        && accepted.epoch == message.epoch
+                        && stored().promised == message.epoch
+                        && accepted.replicas.contains(replica.self());
+        if (!current) {
+            answer.accept(reply(false));
+            return;
+        }
+        replica.heardFromCandidate();
+        Snapshot next = stored().snapshot.with(message.document, message.generation, message.order);
+        saveThenAcknowledge(stored().withSnapshot(next), answer);
+    }
+
+    private void heartbeat(View view, Consumer<Message> answer) {
+        if (view.epoch < stored().promised) {
+            answer.accept(reply(false));
+            return;
+        }
+        replica.adopt(view);
+        if (stored().accepted == null || view.epoch > stored().accepted.epoch) {
+            saveThenAcknowledge(stored().withAccepted(view), answer);
+            return;
+        }
+        answer.accept(reply(true));
+    }
+}
--- a/src/test/java/yewyoke/control/ControlPlaneTest.java
+++ b/src/test/java/yewyoke/control/ControlPlaneTest.java
@@ -125,10 +125,10 @@
                         Member.of("a:1", "a:2", ""),
                         Member.of("b:1", "b:2", ""),
                         Member.of("c:1", "c:2", ""));
-        plane = new ControlPlane(clock, this::call, 1, 1_000, 0.1, 1_000, Map.of("z", "r"));
+        plane = new ControlPlane(clock, this::call, 1_000, 0.1, 1_000, Map.of("z", "r"));
         replica =
                 new Replica(
-                        new ReplicaOptions(seeds.get(0), 1, true, seeds),
+                        new ReplicaOptions(seeds.get(0), 1, true, seeds, 4_000),
                         null,
                         "s",
                         clock,
@@ -298,6 +298,41 @@
         assertEquals(503, gone.status);
     }
 
+    @Test
+    void aDepartureIsOnTheDisksOfAllReplicasBeforeItIsAcknowledged() {
+        heartbeat("i", "ready", 1);
+        sent.clear();
+        Call gone = new Call("DELETE", "/instances/i", null, "");
+        plane.handle(gone);
+        clock.run(4);
+        assertEquals(0, gone.status, "the disk has not synced it yet");
+        clock.run(20);
+        assertEquals(200, gone.status);
+        assertEquals(Stage.GONE, saved.instances.get(0).stage);
+        long durably =
+                sent.stream().filter(m -> m instanceof ShareInstances s && s.durably).count();
+        assertEquals(replica.view().replicas.size() - 1, durably);
+    }
+
+    @Test
+    void theDepartureOfAnUnknownUpstreamReachesWhoeverKnowsIt() {
+        Call gone = new Call("DELETE", "/instances/never-heard", null, "");
+        plane.handle(gone);
+        clock.run(20);
+        assertEquals(200, gone.status);
+        assertTrue(
+                sent.stream()
+                        .anyMatch(
+                                m ->
+                                        m instanceof ShareInstances s
+                                                && s.durably
+                                                && s.instances.get(0).id.equals("never-heard")
+                                                && s.instances.get(0).stage == Stage.GONE));
+        heartbeat("never-heard", "ready", 9);
+        assertEquals(Stage.GONE, plane.instances().get(0).stage);
+        assertTrue(upgrade().contains("\"zones\":[]"), upgrade());
+    }
+
     @Test
     void aDrainingUpstreamStaysSoWhateverComesLate() {
         heartbeat("i", "ready", 1);
@@ -362,10 +397,10 @@
         heartbeat("d", "draining", 1);
         clock.run(1_000);
         ControlPlane after =
-                new ControlPlane(clock, this::call, 1, 1_000, 0.1, 1_000, Map.of("z", "r"));
+                new ControlPlane(clock, this::call, 1_000, 0.1, 1_000, Map.of("z", "r"));
         after.attach(
                 new Replica(
-                        new ReplicaOptions(replica.self(), 1, false, List.of()),
+                        new ReplicaOptions(replica.self(), 1, false, List.of(), 4_000),
                         saved,
                         "x",
                         clock,
--- /dev/null
+++ b/src/test/java/yewyoke/control/model/Forger.java
@@ -0,0 +1,126 @@
+package yewyoke.control.model;
+
+import java.util.List;
+import yewyoke.message.Accept;
+import yewyoke.message.Acknowledge;
+import yewyoke.message.Heartbeat;
+import yewyoke.message.Install;
+import yewyoke.message.Member;
+import yewyoke.message.Message;
+import yewyoke.message.Prepare;
+import yewyoke.message.Promise;
+import yewyoke.message.Replicate;
+import yewyoke.message.ShareInstances;
+import yewyoke.message.Snapshot;
+import yewyoke.message.View;
+
+/** Takes a guard out of the protocol by forging what the network carries. */
+final class Forger {
+    private final Guard missing;
+    private final ControlModel model;
+
+    Forger(Guard missing, ControlModel model) {
+        this.missing = missing;
+        this.model = model;
+    }
+
+    /** An answer that the network gives in place of the node that is called, null for none. */
+    Message answerInstead(ModelNode caller, String to, Message message) {
+        if (missing == null) {
+            return null;
+        }
+        Member called = memberAt(caller, to, message);
+        if (called == null) {
+            return null;
+        }
+        return switch (missing) {
+            case COPY_BEFORE_VIEW ->
+                    message instanceof Install install ? yes(install.epoch, called) : null;
+            case MAJORITY_OF_THE_GROUP -> vote(message, called);
+            case MAJORITY_OF_THE_GROUP_BEFORE ->
+                    dropped(caller, called) ? vote(message, called) : null;
+            case ROUND_TRIP_BEFORE_A_READ ->
+                    message instanceof Heartbeat beat ? yes(beat.view.epoch, called) : null;
+            case SWAP_AT_ADMISSION ->
+                    message instanceof Heartbeat beat && !model.reaches(caller.address, to)
+                            ? yes(beat.view.epoch, called)
+                            : null;
+            default -> null;
+        };
+    }
+
+    private static Message vote(Message message, Member called) {
+        if (message instanceof Prepare prepare) {
+            Promise promise = new Promise();
+            promise.granted = true;
+            promise.promised = prepare.epoch;
+            promise.member = called;
+            return promise;
+        }
+        return message instanceof Accept accept ? yes(accept.view.epoch, called) : null;
+    }
+
+    private static Acknowledge yes(long epoch, Member member) {
+        return Acknowledge.of(true, epoch, member);
+    }
+
+    /** Whether a member belongs to the group before a change of the group alone. */
+    private static boolean dropped(ModelNode caller, Member called) {
+        View view = caller.replica().view();
+        return view != null
+                && !caller.address.equals(called.address)
+                && (!view.group.contains(called) || !view.settled());
+    }
+
+    private Member memberAt(ModelNode caller, String to, Message message) {
+        View view = message instanceof Accept accept ? accept.view : caller.replica().view();
+        if (view == null) {
+            return null;
+        }
+        for (List<Member> members : List.of(view.group, view.previous)) {
+            for (Member member : members) {
+                if (member.address.equals(to)) {
+                    return member;
+                }
+            }
+        }
+        return null;
+    }
+
+    /** A message as the receiving node takes it. */
+    Message received(ModelNode node, Message message) {
+        if (missing == Guard.EPOCH_IN_EACH_MESSAGE) {
+            raise(node, message);
+        } else if (missing == Guard.DIGEST_OF_AN_ORDER) {
+            forgetOrders(message);
+        } else if (missing == Guard.DURABLE_DEPARTURE && message instanceof ShareInstances share) {
+            share.durably = false;
+        }
+        return message;
+    }
+
+    private static void raise(ModelNode node, Message message) {
+        long promised = node.replica().epoch();
+        View accepted = node.replica().view();
+        if (message instanceof Replicate replicate && accepted != null) {
+            replicate.epoch = Math.max(replicate.epoch, promised);
+        } else if (message instanceof Heartbeat beat) {
+            beat.view.epoch = Math.max(beat.view.epoch, promised);
+        } else if (message instanceof Accept accept) {
+            accept.view.epoch = Math.max(accept.view.epoch, promised);
+        } else if (message instanceof Install install) {
+            install.epoch = Math.max(install.epoch, promised);
+        } else if (message instanceof ShareInstances share) {
+            share.epoch = Math.max(share.epoch, promised);
+        }
+    }
+
+    private static void forgetOrders(Message message) {
+        if (message instanceof Replicate replicate) {
+            replicate.order = "forgotten";
+        } else if (message instanceof Install install) {
+            Snapshot snapshot = install.snapshot;
+            install.snapshot = Snapshot.of(snapshot.document, snapshot.generation, List.of());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/yewyoke/control/model/ModelBalancer.java
@@ -0,0 +1,88 @@
+package yewyoke.control.model;
+
+import java.util.List;
+import yewyoke.configuration.Compression;
+import yewyoke.message.InstanceRecord;
+import yewyoke.message.InstanceRecord.Stage;
+import yewyoke.message.Message;
+import yewyoke.message.MessageCodec;
+import yewyoke.message.Poll;
+import yewyoke.message.PollReply;
+
+/** A balancer as the control plane sees it: it polls, and never goes back. */
+final class ModelBalancer {
+    private static final long TIMEOUT = 750;
+    private static final long PAUSE = 50;
+
+    private final ControlModel model;
+    private final String name;
+    private String target = "";
+    private long epoch;
+    private long generation;
+    private long revision;
+    private boolean complete;
+    private long newestAtAsk;
+
+    ModelBalancer(ControlModel model, String name) {
+        this.model = model;
+        this.name = name;
+    }
+
+    /** The generation in force here. */
+    long generation() {
+        return generation;
+    }
+
+    void poll() {
+        List<ModelNode> nodes = model.listedNodes();
+        if (target.isEmpty()) {
+            target = nodes.get(model.random.nextInt(nodes.size())).address;
+        }
+        Poll poll = new Poll();
+        poll.balancer = name;
+        poll.address = name + ":1";
+        poll.epoch = epoch;
+        poll.generation = generation;
+        poll.revision = revision;
+        poll.complete = complete;
+        long sentAt = model.clock.now();
+        newestAtAsk = model.history.newest();
+        ModelNode.OneAnswer once = new ModelNode.OneAnswer(reply -> answered(sentAt, reply));
+        model.clock.schedule(TIMEOUT, () -> once.accept(null));
+        byte[] bytes = MessageCodec.encode(poll);
+        String to = target;
+        model.network.carry(name, to, () -> model.arrive(to, bytes, name, once::accept));
+    }
+
+    private void answered(long sentAt, Message message) {
+        if (!(message instanceof PollReply reply)) {
+            target = "";
+        } else if (!reply.valid || reply.epoch < epoch) {
+            target = reply.primary.equals(target) ? "" : reply.primary;
+        } else {
+            take(reply, sentAt);
+            poll();
+            return;
+        }
+        model.clock.schedule(PAUSE, this::poll);
+    }
+
+    private void take(PollReply reply, long sentAt) {
+        complete = reply.complete || complete && reply.epoch == epoch;
+        epoch = reply.epoch;
+        revision = reply.revision;
+        if (reply.generation > generation && reply.document.length > 0) {
+            byte[] document = Compression.inflate(reply.document);
+            model.history.shown(ModelOrder.nameIn(document), reply.generation, name);
+            generation = reply.generation;
+        }
+        if (sentAt > model.history.lastAcknowledgedAt() + ControlModel.STALE_POLL_MS) {
+            model.history.notOlder(generation, newestAtAsk, "poll of " + name);
+        }
+        for (InstanceRecord record : reply.instances) {
+            if (record.stage == Stage.READY) {
+                model.history.shownReady(record.id, sentAt, ControlModel.STALE_POLL_MS, name);
+            }
+        }
+    }
+}
--- a/src/test/java/yewyoke/replication/VirtualCluster.java
+++ b/src/test/java/yewyoke/replication/VirtualCluster.java
@@ -87,7 +87,7 @@
             StoredState stored = disk == null ? null : (StoredState) MessageCodec.decode(disk);
             ReplicaOptions options =
                     new ReplicaOptions(
-                            Member.of(address, control, ""), tolerated, bootstrap, seeds);
+                            Member.of(address, control, ""), tolerated, bootstrap, seeds, 4_000);
             replica =
                     new Replica(
                             options,
@@ -195,6 +195,11 @@
             }
         }
 
+        @Override
+        public void inherit(Collection<InstanceRecord> instances) {
+            // there are no upstreams here
+        }
+
         @Override
         public void lostPrimacy() {
             // the client asks for the state itself
