--- a/src/test/java/yewyoke/control/model/ModelNode.java
+++ b/src/test/java/yewyoke/control/model/ModelNode.java
@@ -158,6 +158,10 @@
         task.run();
     }
 
+    private boolean gone(int mine) {
+        return !up || incarnation != mine;
+    }
+
     /** Timers that end with the process and wait while it is frozen. */
     private record ProcessTimers(ModelNode node, int incarnation) implements Scheduler {
         @Override
@@ -178,6 +182,9 @@
     public void save(StoredState state, Consumer<Boolean> done) {
         int mine = incarnation;
         model.point(this);
+        if (gone(mine)) {
+            return;
+        }
         disk.save(
                 state,
                 () -> up && incarnation == mine,
@@ -186,7 +193,9 @@
                                 mine,
                                 () -> {
                                     model.point(this);
-                                    done.accept(ok);
+                                    if (!gone(mine)) {
+                                        done.accept(ok);
+                                    }
                                 }));
     }
 
@@ -205,7 +214,11 @@
             return;
         }
         model.point(this);
+        if (gone(mine)) {
+            return;
+        }
         model.network.carry(address, to, () -> model.arrive(to, bytes, address, once::accept));
+        model.point(this);
     }
 
     /** A message has arrived at this machine. */
@@ -222,6 +235,9 @@
                 mine,
                 () -> {
                     model.point(this);
+                    if (gone(mine)) {
+                        return;
+                    }
                     Message message = model.forger().received(this, MessageCodec.decode(bytes));
                     plane.receive(message, reply -> answer(reply, from, back));
                 });
