Bring about freeze, replacement, lost disk and a missed storm with real processes

Need: the model runs the protocol on a manual clock; sockets, files and signals are to be shown too. No cut with a relay: a member is called at the address at which it listens, so nothing can stand between.

--- /dev/null
+++ b/src/test/java/yewyoke/control/ControlProcesses.java
@@ -0,0 +1,184 @@
+package yewyoke.control;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/** Real processes of the control plane on loopback addresses, each with a folder as its disk. */
+final class ControlProcesses implements AutoCloseable {
+    private static final int INTERNAL_PORT = 7500;
+    private static final int CONTROL_PORT = 8367;
+    private static final int SEEDS = 3;
+    private static final Duration CALL = Duration.ofMillis(1_000);
+    private static final long PATIENCE = 15_000;
+
+    private final HttpClient http =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .followRedirects(HttpClient.Redirect.ALWAYS)
+                    .build();
+    private final Path folder;
+    private final Map<String, Process> processes = new LinkedHashMap<>();
+
+    ControlProcesses(Path folder) {
+        this.folder = folder;
+    }
+
+    /** An address that only this test of this process uses. */
+    private static String ip(String name) {
+        long pid = ProcessHandle.current().pid();
+        int position = 150 + Integer.parseInt(name.substring(1));
+        return "127." + (1 + pid / 250 % 250) + "." + (1 + pid % 250) + "." + position;
+    }
+
+    private Path disk(String name) {
+        return folder.resolve(name);
+    }
+
+    /** Starts a node; {@code bootstrap} belongs to the first start of all. */
+    void start(String name, boolean bootstrap) throws IOException {
+        StringBuilder seeds = new StringBuilder();
+        for (int i = 0; i < SEEDS; i++) {
+            String separator = i == 0 ? "" : ",";
+            seeds.append(separator).append('"').append(ip("n" + i)).append(":8367\"");
+        }
+        String text =
+                "node_name = \"%s\"\nrole = \"control\"\nip = \"%s\"\nzone = \"z\"\n"
+                                .formatted(name, ip(name))
+                        + "port_range = [%d,7515]\nseeds = [%s]\nbootstrap = %s\n"
+                                .formatted(INTERNAL_PORT, seeds, bootstrap)
+                        + "heartbeat_ms = 1200\ndata_dir = \"%s\"\n".formatted(disk(name))
+                        + "[listen]\ncontrol = \"%s:%d\"\n".formatted(ip(name), CONTROL_PORT)
+                        + "[fault_tolerance]\nmachines = 1\n[bounds]\ncatch_up_s = 4\ngrace_s = 8\n";
+        Path settings = folder.resolve(name + ".toml");
+        Files.writeString(settings, text);
+        ProcessBuilder builder =
+                new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:TieredStopAtLevel=1",
+                        "-XX:+UseSerialGC",
+                        "-Xmx64m",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "yewyoke.control.Main",
+                        "serve");
+        builder.environment().put("MYRTLELADDER_CONFIG", settings.toString());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+        processes.put(name, builder.start());
+    }
+
+    List<String> names() {
+        return new ArrayList<>(processes.keySet());
+    }
+
+    /** Sends a signal to a node's process. */
+    void signal(String name, String signal) throws IOException, InterruptedException {
+        String pid = Long.toString(processes.get(name).pid());
+        assertTrue(new ProcessBuilder("kill", "-" + signal, pid).start().waitFor() == 0);
+    }
+
+    /** Kills a node; it is no more among those that are called. */
+    void kill(String name) throws InterruptedException {
+        Process process = processes.remove(name);
+        process.destroyForcibly();
+        process.waitFor();
+    }
+
+    /** Whether a node that was asked to end has done so within a time. */
+    boolean ended(String name, long withinMs) throws InterruptedException {
+        return processes.get(name).waitFor(withinMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Empties a node's disk. */
+    void wipe(String name) throws IOException {
+        try (Stream<Path> files = Files.walk(disk(name))) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    /** What a node answers to a call; status 0 if it does not. */
+    HttpResponse<String> call(String name, String method, String path, String match, String body)
+            throws InterruptedException {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(URI.create("http://" + ip(name) + ":" + CONTROL_PORT + path))
+                        .timeout(CALL)
+                        .method(method, HttpRequest.BodyPublishers.ofString(body));
+        if (!match.isEmpty()) {
+            request.header("If-Match", match);
+        }
+        try {
+            return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /** Sends a change to one node after the other until it is acknowledged. */
+    void change(long match, long generation) throws InterruptedException {
+        String body = "{\"generation\":" + generation + ",\"services\":[{\"name\":\"s\"}]}";
+        long end = System.nanoTime() + PATIENCE * 1_000_000;
+        String last = "nothing";
+        while (System.nanoTime() < end) {
+            for (String name : names()) {
+                HttpResponse<String> answer =
+                        call(name, "PUT", "/config", Long.toString(match), body);
+                if (answer != null && answer.statusCode() == 200) {
+                    return;
+                }
+                last = name + " " + (answer == null ? "silent" : answer.statusCode());
+            }
+        }
+        throw new AssertionError("generation " + generation + " is not acknowledged: " + last);
+    }
+
+    /** The name of the node that leads, empty if none does. */
+    String leader() throws InterruptedException {
+        for (String name : names()) {
+            HttpResponse<String> answer = call(name, "GET", "/status", "", "");
+            if (answer != null && answer.body().contains("\"PRIMARY\"")) {
+                return name;
+            }
+        }
+        return "";
+    }
+
+    /** Waits until a node follows as a member of the leader's view. */
+    void awaitMember(String name) throws InterruptedException {
+        long end = System.nanoTime() + PATIENCE * 1_000_000;
+        while (System.nanoTime() < end) {
+            String leader = leader();
+            HttpResponse<String> answer =
+                    leader.isEmpty() ? null : call(leader, "GET", "/status", "", "");
+            HttpResponse<String> own = call(name, "GET", "/status", "", "");
+            boolean listed =
+                    answer != null && answer.body().contains(ip(name) + ":" + INTERNAL_PORT);
+            if (listed && own != null && own.body().contains("\"FOLLOWER\"")) {
+                return;
+            }
+        }
+        throw new AssertionError(name + " is not admitted");
+    }
+
+    @Override
+    public void close() {
+        processes.values().forEach(Process::destroyForcibly);
+    }
+}
