Answer requests that offer to upgrade their connection

Ruled out: the loop and the handler, which never saw the request. Change: such a request is whole once its length has come, is answered as HTTP/1.1, and its connection ends. Found by the test with real processes; HttpTest shows it without them.

--- a/src/main/java/yewyoke/io/HttpExchange.java
+++ b/src/main/java/yewyoke/io/HttpExchange.java
@@ -46,7 +46,9 @@
                         query == null || query.isEmpty() ? path : path + "?" + query,
                         headers);
         String connection = headers.get("Connection");
-        this.keepAlive = connection == null || !connection.equalsIgnoreCase("close");
+        // the library takes what follows an offer to upgrade for a part of that request
+        boolean asked = connection != null && connection.equalsIgnoreCase("close");
+        this.keepAlive = !asked && !request.isUpgrade();
     }
 
     boolean tooLarge() {
--- a/src/main/java/yewyoke/io/ServerConnection.java
+++ b/src/main/java/yewyoke/io/ServerConnection.java
@@ -46,11 +46,19 @@
         if (buffer != null && buffer.hasRemaining()) {
             append(buffer, mostBodyBytes);
         }
-        if (content.isLast()) {
+        if (content.isLast() || whole()) {
             complete();
         }
     }
 
+    /** The library does not tell the end of a request that offers to upgrade the connection. */
+    private boolean whole() {
+        return reading.isUpgrade()
+                && !reading.isChunked()
+                && !tooLarge
+                && body.length >= Math.max(0, reading.getContentLength());
+    }
+
     private void append(Buffer buffer, long mostBodyBytes) {
         int more = buffer.remaining();
         if (tooLarge || body.length + more > mostBodyBytes) {
--- a/src/test/java/yewyoke/io/HttpTest.java
+++ b/src/test/java/yewyoke/io/HttpTest.java
@@ -84,6 +84,25 @@
         }
     }
 
+    @Test
+    void aRequestThatOffersToUpgradeIsAnsweredAsItStandsAndEndsItsConnection() throws Exception {
+        serve(e -> e.respond(200, new Headers().add("X-Target", e.head().target()), e.body()));
+        String offer = "Host: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n";
+        try (Socket socket = client()) {
+            send(socket, "GET /a HTTP/1.1\r\n" + offer + "\r\n");
+            String answer = readUntil(socket, null);
+            assertTrue(answer.contains("X-Target: /a\r\n"), answer);
+            assertTrue(answer.contains("Connection: close\r\n"), answer);
+        }
+        try (Socket socket = client()) {
+            send(socket, "PUT /b HTTP/1.1\r\n" + offer + "Content-Length: 4\r\n\r\nab");
+            send(socket, "cd");
+            String answer = readUntil(socket, null);
+            assertTrue(answer.contains("X-Target: /b\r\n"), answer);
+            assertTrue(answer.endsWith("abcd<end>"), answer);
+        }
+    }
+
     @Test
     void aStreamIsPassedOnInPieces() throws Exception {
         LinkedBlockingQueue<ServerExchange> exchanges = new LinkedBlockingQueue<>();
