Answer quotas, polls and heartbeats while a primary installs another view of its own

At each change of view the primary was a candidate for 0.1 s, refused asks for quota, and the balancers went on with their own 0.85 of a part for 0.4 s, while the bank filled all the same: up to 0.34 of a second's rate for each. Ruled out: two primaries at once (one epoch each, the old one refused from 0.7 s on), a bank that was cleared (the primary was the same).

Change: a primary that installs a view of its own still leads the one before, as long as a majority answered within 0.7 s. A new primary's bank begins with a tenth of what it may hold in place of three tenths: two failures within one window left no margin.

--- a/src/main/java/yewyoke/control/QuotaBank.java
+++ b/src/main/java/yewyoke/control/QuotaBank.java
@@ -15,7 +15,7 @@
 final class QuotaBank {
     private static final double OVERAGE_USED = 0.5;
     private static final double SLACK_USED = 0.25;
-    private static final double FIRST_LEVEL = 0.3;
+    private static final double FIRST_LEVEL = 0.1;
     private static final double FULL = 0.5;
     private static final double SLACK_AHEAD = 0.25;
 
--- a/src/main/java/yewyoke/replication/Replica.java
+++ b/src/main/java/yewyoke/replication/Replica.java
@@ -199,9 +199,13 @@
         return instancesAtStart;
     }
 
-    /** Whether a majority confirmed this primary a short while ago. */
+    /**
+     * Whether a majority confirmed this primary a short while ago. A primary that installs another
+     * view of its own still leads the one before: nobody else may while the members hear of it.
+     */
     public boolean recentlyConfirmed() {
-        return state == State.PRIMARY && leadership.recentlyConfirmed();
+        boolean leads = state == State.PRIMARY || state == State.CANDIDATE && leading;
+        return leads && leadership.recentlyConfirmed();
     }
 
     /** The primary if it was heard itself a short while ago, else null. */
@@ -558,7 +562,7 @@
     /** Whether a primary other than the given candidate was heard a short while ago. */
     boolean hears(Member candidate) {
         if (state == State.PRIMARY) {
-            return recentlyConfirmed();
+            return leadership.recentlyConfirmed();
         }
         return scheduler.now() - primaryHeardAt < ReplicaTimes.FIRST_PATIENCE
                 && state == State.FOLLOWER
--- a/src/test/java/yewyoke/control/ControlPlaneTest.java
+++ b/src/test/java/yewyoke/control/ControlPlaneTest.java
@@ -21,12 +21,15 @@
 import yewyoke.message.Install;
 import yewyoke.message.InstanceRecord;
 import yewyoke.message.InstanceRecord.Stage;
+import yewyoke.message.Join;
 import yewyoke.message.Member;
 import yewyoke.message.Message;
 import yewyoke.message.Poll;
 import yewyoke.message.PollReply;
 import yewyoke.message.Prepare;
 import yewyoke.message.Promise;
+import yewyoke.message.QuotaAsk;
+import yewyoke.message.QuotaGrant;
 import yewyoke.message.Replicate;
 import yewyoke.message.ShareInstances;
 import yewyoke.message.StoredState;
@@ -440,6 +443,27 @@
         assertNotNull(reply[0]);
     }
 
+    @Test
+    void quotasPollsAndHeartbeatsAreAnsweredWhileThePrimaryChangesItsView() {
+        order("PUT", "0", "{'generation':3}");
+        plane.receive(Join.of(Member.of("d:1", "d:2", "d")), answer -> {});
+        while (replica.state() == Replica.State.PRIMARY) {
+            clock.run(1);
+        }
+        assertEquals(Replica.State.CANDIDATE, replica.state());
+        QuotaGrant[] grant = new QuotaGrant[1];
+        plane.receive(QuotaAsk.of("t", 5), answer -> grant[0] = (QuotaGrant) answer);
+        assertTrue(grant[0].valid);
+        assertTrue(poll(0, 0, 0, false).valid);
+        Call beat = heartbeat("i", "ready", 1);
+        assertEquals(200, beat.status);
+        clock.run(100);
+        peersAnswer = false;
+        clock.run(2_000);
+        plane.receive(QuotaAsk.of("t", 5), answer -> grant[0] = (QuotaGrant) answer);
+        assertFalse(grant[0].valid);
+    }
+
     @Test
     void anUpstreamThatFallsSilentIsLostUntilItIsHeardAgain() {
         heartbeat("i", "ready", 1);
