--- a/src/test/java/yewyoke/dataplane/ExchangeTest.java
+++ b/src/test/java/yewyoke/dataplane/ExchangeTest.java
@@ -21,6 +21,7 @@
 
 /** Requests from arrival to final answer, with scripted upstreams on a manual clock. */
 class ExchangeTest {
+    private static final String MODEL = "Myrtleladder-Model";
     private static final String DOCUMENT =
             ("{'generation':7,'routes':["
                             + "{'name':'s','hostname':'h.example','path_prefix':'/s/',"
@@ -39,9 +40,13 @@
                             + "'backend':'p','retries':2},"
                             + "{'name':'o','hostname':'h.example','path_prefix':'/o/',"
                             + "'type':'idempotent','timeout_ms':1000,"
-                            + "'backend':'p','retries':2,'public':true}],"
+                            + "'backend':'p','retries':2,'public':true},"
+                            + "{'name':'w','hostname':'h.example','path_prefix':'/w/',"
+                            + "'type':'idempotent','timeout_ms':1000,'retries':1,"
+                            + "'traffic_split':[{'backend':'p','weight':90},"
+                            + "{'backend':'q','weight':10}]}],"
                             + "'services':[{'name':'m','engine':{'capacity':64,'kv_tokens':500000,"
-                            + "'stride':5}},{'name':'p'}],"
+                            + "'stride':5}},{'name':'p'},{'name':'q'}],"
                             + "'tenants':[{'name':'t1','api_keys':['k1'],'priority':1,'unit':'tokens',"
                             + "'plain_tokens':200,"
                             + "'rate_per_s':1000,'burst':1000}]}")
@@ -63,7 +68,7 @@
                         1);
         router.use(Configuration.read(Json.readObject(DOCUMENT.getBytes(StandardCharsets.UTF_8))));
         List<InstanceRecord> records = new ArrayList<>();
-        for (String service : new String[] {"m", "p"}) {
+        for (String service : new String[] {"m", "p", "q"}) {
             for (int i = 1; i <= 3; i++) {
                 records.add(record(service + i, service, Stage.READY));
             }
@@ -425,4 +430,70 @@
         }
         assertTrue(refused > 0 && refused < 40, "refused " + refused);
     }
+
+    @Test
+    void whatNamesTheModelReachesTheUpstreamAsTheClientWroteIt() {
+        String prefix = "5C1e07a2:800, 91bd3f06:410,e4402b7d:250";
+        request("/s/1", MODEL, "m;x=1", Names.USAGE, "1460, 80", Names.PREFIX, prefix);
+        assertEquals("m;x=1", links.last().header(MODEL));
+        assertEquals("1460, 80", links.last().header(Names.USAGE));
+        assertEquals(prefix, links.last().header(Names.PREFIX));
+    }
+
+    @Test
+    void aRepeatIsHandedWhatIsLeftOfTheTime() {
+        request("/s/1", Names.DEADLINE, "6000");
+        assertEquals("6000", links.last().header(Names.DEADLINE));
+        clock.run(700);
+        links.last().broken();
+        assertEquals(2, links.sent.size());
+        assertEquals("5300", links.last().header(Names.DEADLINE));
+    }
+
+    @Test
+    void theTimeOfTheRouteEndsARequestWhoseClientWouldWaitLonger() {
+        ScriptedClient client = request("/u/1", Names.DEADLINE, "9000");
+        assertEquals("1000", links.last().header(Names.DEADLINE));
+        clock.run(1_010);
+        assertEquals(504, client.status);
+        assertTrue(links.last().closed);
+    }
+
+    @Test
+    void aClientThatLeavesWhileItsConnectionIsOpenedSendsNothingLater() {
+        links.dark = true;
+        ScriptedClient client = request("/i/1");
+        client.leave();
+        links.dark = false;
+        clock.run(2_000);
+        assertEquals(0, links.sent.size());
+        assertEquals(0, router.underWay());
+    }
+
+    @Test
+    void withoutAConfigurationARequestIsToldToComeBack() {
+        Router empty =
+                new Router(
+                        clock,
+                        links,
+                        new RetryBudget(0.2, 100),
+                        (ask, timeout, answer) -> answer.accept(grant),
+                        1);
+        ScriptedClient client = new ScriptedClient("/s/1");
+        empty.handle(client);
+        assertEquals(503, client.status);
+        assertNotNull(client.headers.get(Names.RETRY_AFTER));
+    }
+
+    @Test
+    void theServicesOfASplitGetTheirWeights() {
+        int second = 0;
+        for (int i = 0; i < 300; i++) {
+            assertEquals(0, request("/w/1").status);
+            second += links.last().upstream.record().service.equals("q") ? 1 : 0;
+            links.last().head(200);
+            links.last().end();
+        }
+        assertTrue(second >= 15 && second <= 45, "of 300 one in ten got " + second);
+    }
 }
