Test orders that arrive again at each node, and an admission by other seeds

Need: the same order after a new view, a hundred later changes and a restart of all, at any node; another If-Match under the same number; a machine that is admitted while a first seed is cut off. Calls of the tests of the control plane share what every scripted call does.

--- a/src/test/java/yewyoke/control/ControlPlaneTest.java
+++ b/src/test/java/yewyoke/control/ControlPlaneTest.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.api.Test;
 import yewyoke.io.Headers;
 import yewyoke.io.RequestHead;
-import yewyoke.io.ServerExchange;
 import yewyoke.message.Accept;
 import yewyoke.message.Acknowledge;
 import yewyoke.message.Heartbeat;
@@ -52,35 +51,18 @@
     private Replica replica;
 
     /** A call at the control address and its answer. */
-    private static final class Call implements ServerExchange {
-        private final RequestHead head;
-        private final byte[] body;
+    private static final class Call extends WholeAnswerCall {
         int status;
         Headers headers;
         String answer;
 
         Call(String method, String path, String match, String body) {
-            Headers fields = new Headers();
-            if (match != null) {
-                fields.add("If-Match", match);
-            }
-            this.head = new RequestHead(method, path, fields);
-            this.body = body.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
-        }
-
-        @Override
-        public RequestHead head() {
-            return head;
-        }
-
-        @Override
-        public byte[] body() {
-            return body;
-        }
-
-        @Override
-        public String caller() {
-            return "operator";
+            super(
+                    new RequestHead(
+                            method,
+                            path,
+                            match == null ? new Headers() : new Headers().add("If-Match", match)),
+                    body.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
         }
 
         @Override
@@ -90,35 +72,10 @@
             answer = new String(bytes, StandardCharsets.UTF_8);
         }
 
-        @Override
-        public void begin(int code, Headers fields) {
-            throw new AssertionError("no answer here comes in pieces");
-        }
-
-        @Override
-        public void write(byte[] bytes, int offset, int length) {
-            throw new AssertionError("no answer here comes in pieces");
-        }
-
-        @Override
-        public void end() {
-            throw new AssertionError("no answer here comes in pieces");
-        }
-
         @Override
         public void abort() {
             status = -1;
         }
-
-        @Override
-        public boolean open() {
-            return true;
-        }
-
-        @Override
-        public void onGone(Runnable task) {
-            // callers here stay
-        }
     }
 
     @BeforeEach
--- a/src/test/java/yewyoke/control/model/FivePointsTest.java
+++ b/src/test/java/yewyoke/control/model/FivePointsTest.java
@@ -124,6 +124,69 @@
         }
     }
 
+    /** The status that a node's answer to an order has, 0 without an answer. */
+    private static int statusOf(ControlModel model, ModelNode node, ModelOrder order) {
+        int[] status = {-1};
+        new OutsideCalls(model, "third")
+                .call(
+                        node,
+                        "PUT",
+                        "/config",
+                        order.match(),
+                        order.body(),
+                        answer -> status[0] = answer == null ? 0 : answer.status());
+        while (status[0] < 0) {
+            model.clock.run(10);
+        }
+        return status[0];
+    }
+
+    private static ModelOrder acknowledgedOrder(ControlModel model) {
+        for (int i = 0; i < 200; i++) {
+            long base = model.history.newest();
+            ModelOrder order = new ModelOrder("third-" + i, base, base + 1);
+            model.history.ordered(order);
+            if (statusOf(model, model.leader(), order) == 200) {
+                model.history.acknowledged(order, model.clock.now());
+                return order;
+            }
+        }
+        throw new AssertionError("no order of a third operator is taken");
+    }
+
+    private static void expectKnownEverywhere(ControlModel model, ModelOrder order, String when) {
+        for (ModelNode node : nodes(model)) {
+            assertEquals(200, statusOf(model, node, order), node.address + " " + when);
+        }
+    }
+
+    @Test
+    void anOrderIsKnownAtAnyNodeAfterANewViewLaterChangesAndARestartOfAll() {
+        for (int size : new int[] {3, 8}) {
+            ControlModel model = started(size, size, size == 8 ? 2 : 1);
+            ModelOrder order = acknowledgedOrder(model);
+            expectKnownEverywhere(model, order, "at once");
+            model.leader().kill();
+            model.clock.run(CONTACT);
+            model.mend();
+            model.clock.run(CATCH_UP);
+            expectKnownEverywhere(model, order, "after a new view");
+            for (int i = 0; i < 100; i++) {
+                model.awaitPromise(2_000);
+            }
+            expectKnownEverywhere(model, order, "after later changes");
+            nodes(model).forEach(ModelNode::powerOff);
+            model.clock.run(500);
+            model.mend();
+            model.clock.run(CATCH_UP);
+            expectKnownEverywhere(model, order, "after a restart of all");
+            ModelOrder other = new ModelOrder(order.name(), order.match() + 1, order.generation());
+            int status = statusOf(model, model.leader(), other);
+            assertTrue(status == 412 || status == 400, "another If-Match: " + status);
+            expectSound(model, "after a known order of " + size);
+        }
+    }
+
     // ---- 3. a second loss after a repair
     // -----------------------------------------------------------
 
@@ -290,4 +353,24 @@
             expectSound(model, "after 300 changes without " + away);
         }
     }
+
+    @Test
+    void withOtherSeedsAndTheFirstOnesCutOffAMachineIsAdmitted() {
+        ControlModel model = started(23, 5, 2);
+        model.exchangeSeeds();
+        ModelNode first = nodes(model).get(0);
+        for (ModelNode other : nodes(model)) {
+            if (other != first) {
+                model.network.cut(first.address, other.address);
+            }
+        }
+        model.clock.run(CONTACT);
+        ModelNode added = model.addMachine();
+        added.start(false);
+        model.clock.run(CATCH_UP);
+        assertTrue(model.leader().group().contains(added.replica().self()));
+        model.mend();
+        model.clock.run(CATCH_UP);
+        expectSound(model, "after other seeds");
+    }
 }
--- a/src/test/java/yewyoke/dataplane/ExchangeTest.java
+++ b/src/test/java/yewyoke/dataplane/ExchangeTest.java
@@ -338,9 +338,13 @@
 
     @Test
     void theDeadlineEndsARequestAtOnce() {
-        ScriptedClient client = request("/u/1", Names.DEADLINE, "300");
-        assertEquals("300", links.last().header(Names.DEADLINE));
-        clock.run(320);
+        assertEndsInTime("300", "300", 320);
+    }
+
+    private void assertEndsInTime(String told, String handedOn, long within) {
+        ScriptedClient client = request("/u/1", Names.DEADLINE, told);
+        assertEquals(handedOn, links.last().header(Names.DEADLINE));
+        clock.run(within);
         assertEquals(504, client.status);
         assertTrue(links.last().closed);
     }
@@ -452,11 +456,7 @@
 
     @Test
     void theTimeOfTheRouteEndsARequestWhoseClientWouldWaitLonger() {
-        ScriptedClient client = request("/u/1", Names.DEADLINE, "9000");
-        assertEquals("1000", links.last().header(Names.DEADLINE));
-        clock.run(1_010);
-        assertEquals(504, client.status);
-        assertTrue(links.last().closed);
+        assertEndsInTime("9000", "1000", 1_010);
     }
 
     @Test
