--- a/src/test/java/yewyoke/replication/ReplicaTest.java
+++ b/src/test/java/yewyoke/replication/ReplicaTest.java
@@ -8,6 +8,16 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import yewyoke.message.Accept;
+import yewyoke.message.Acknowledge;
+import yewyoke.message.Heartbeat;
+import yewyoke.message.Install;
+import yewyoke.message.Member;
+import yewyoke.message.Message;
+import yewyoke.message.Prepare;
+import yewyoke.message.Replicate;
+import yewyoke.message.Snapshot;
+import yewyoke.message.View;
 import yewyoke.replication.VirtualCluster.Node;
 
 /** The replication protocol against each kind of loss, on a manual clock. */
@@ -177,4 +187,33 @@
         assertNotNull(cluster.primary());
         assertNotEquals(old.address, cluster.primary().address);
     }
+
+    @Test
+    void whoPromisedAnEpochTakesNothingOfALowerOne() {
+        VirtualCluster cluster = started(3, 1);
+        acknowledge(cluster);
+        Replica primary = cluster.primary().replica;
+        Member other = primary.view().replicas.get(1);
+        Replica backup = cluster.nodes.get(other.address).replica;
+        View view = primary.view();
+        backup.receive(Prepare.of(view.epoch + 7, Member.of("z:1", "z:2", "z"), false), a -> {});
+        Snapshot before = backup.snapshot();
+        View accepted = backup.view();
+        List<Message> late =
+                List.of(
+                        Replicate.of(view.epoch, new byte[] {9}, 99, "late"),
+                        Install.of(
+                                view.epoch, Snapshot.of(new byte[] {9}, 99, List.of()), List.of()),
+                        Accept.of(View.of(view.epoch, other, view.group, view.group, view.group)),
+                        Heartbeat.of(view));
+        for (Message message : late) {
+            Message[] answer = new Message[1];
+            backup.receive(message, a -> answer[0] = a);
+            Acknowledge refusal = (Acknowledge) answer[0];
+            assertEquals(false, refusal.taken, message.toString());
+            assertEquals(view.epoch + 7, refusal.promised);
+        }
+        assertEquals(before, backup.snapshot());
+        assertEquals(accepted, backup.view());
+    }
 }
