--- a/src/test/java/yewyoke/control/ControlProcessesTest.java
+++ b/src/test/java/yewyoke/control/ControlProcessesTest.java
@@ -19,11 +19,16 @@
 
     private ControlProcesses started() throws Exception {
         ControlProcesses processes = new ControlProcesses(folder);
-        for (String name : FIRST) {
-            processes.start(name, true);
+        try {
+            for (String name : FIRST) {
+                processes.start(name, true);
+            }
+            processes.change(0, 1);
+            return processes;
+        } catch (Exception | AssertionError e) {
+            processes.close();
+            throw e;
         }
-        processes.change(0, 1);
-        return processes;
     }
 
     @Test
