--- a/src/main/java/yewyoke/control/ControlPlane.java
+++ b/src/main/java/yewyoke/control/ControlPlane.java
@@ -38,6 +38,7 @@
     private final Map<String, String> regionOfZone;
     private final InstanceRegistry registry = new InstanceRegistry();
     private final BalancerDirectory balancers = new BalancerDirectory();
+    private final FleetView fleet = new FleetView();
     private final QuotaBank bank;
     private final InstanceSharing sharing;
     private final ConfigurationOrders orders;
@@ -68,7 +69,8 @@
                         registry,
                         balancers,
                         orders::committed,
-                        () -> settled(scheduler.now()));
+                        () -> settled(scheduler.now()),
+                        fleet);
     }
 
     private void committed(Configuration configuration, boolean first) {
@@ -96,6 +98,7 @@
         if (!leading) {
             leadingSince = scheduler.now();
             bank.clear();
+            fleet.lead(leadingSince);
         }
         leading = true;
         sharing.lead();
@@ -284,8 +287,7 @@
         if (message instanceof Poll poll) {
             polls.take(poll, answer);
         } else if (message instanceof QuotaAsk ask) {
-            boolean valid = leading && replica.recentlyConfirmed();
-            answer.accept(valid ? bank.grant(ask, scheduler.now()) : QuotaGrant.of(false, 0, 0));
+            answer.accept(grant(ask));
         } else if (message instanceof ShareInstances shared) {
             take(shared, answer);
         } else if (!replica.receive(message, answer)) {
@@ -293,6 +295,17 @@
         }
     }
 
+    private QuotaGrant grant(QuotaAsk ask) {
+        if (!leading || !replica.recentlyConfirmed()) {
+            return QuotaGrant.of(false, 0, 0);
+        }
+        long now = scheduler.now();
+        QuotaGrant grant = bank.grant(ask, now);
+        fleet.take(ask.load, now);
+        grant.loads = fleet.tell(ask.load, replica.view().epoch, now);
+        return grant;
+    }
+
     private void take(ShareInstances shared, Consumer<Message> answer) {
         if (shared.epoch < replica.epoch()) {
             answer.accept(Acknowledge.of(false, replica.epoch(), replica.self()));
--- a/src/main/java/yewyoke/control/PollDistribution.java
+++ b/src/main/java/yewyoke/control/PollDistribution.java
@@ -20,7 +20,9 @@
  * has, the configuration and the upstreams each by a version of their own.
  */
 final class PollDistribution {
-    private static final long HOLD = 450;
+    private static final long SHORTEST_HOLD = 150;
+    private static final long LONGEST_HOLD = 450;
+    private static final long HOLD_FOR_EACH = 4; // bounds the polls of all to 250 a second
     private static final byte[] NO_BYTES = {};
 
     private final Scheduler scheduler;
@@ -28,6 +30,7 @@
     private final BalancerDirectory balancers;
     private final Supplier<Snapshot> committed;
     private final BooleanSupplier settled;
+    private final FleetView fleet;
     private final List<HeldPoll> polls = new ArrayList<>();
     private Replica replica;
     private boolean leading;
@@ -44,12 +47,14 @@
             InstanceRegistry registry,
             BalancerDirectory balancers,
             Supplier<Snapshot> committed,
-            BooleanSupplier settled) {
+            BooleanSupplier settled,
+            FleetView fleet) {
         this.scheduler = scheduler;
         this.registry = registry;
         this.balancers = balancers;
         this.committed = committed;
         this.settled = settled;
+        this.fleet = fleet;
     }
 
     /** Gives the replica that knows who is primary. */
@@ -73,11 +78,18 @@
 
     /** Answers the polls that were held for long enough. */
     void time(long now) {
-        List<HeldPoll> due = polls.stream().filter(p -> now - p.since() >= HOLD).toList();
+        long hold = hold();
+        List<HeldPoll> due = polls.stream().filter(p -> now - p.since() >= hold).toList();
         polls.removeAll(due);
         due.forEach(p -> p.answer().accept(reply(p.poll())));
     }
 
+    /** Loads are the fresher the shorter polls are held; many balancers poll less often each. */
+    private long hold() {
+        long shared = HOLD_FOR_EACH * balancers.count(false);
+        return Math.max(SHORTEST_HOLD, Math.min(LONGEST_HOLD, shared));
+    }
+
     private Snapshot committed() {
         return committed.get();
     }
@@ -93,6 +105,11 @@
             return;
         }
         balancers.heard(poll, scheduler.now());
+        if (poll.leaving) {
+            fleet.forget(poll.balancer);
+        } else {
+            fleet.take(poll.load, scheduler.now());
+        }
         if (poll.immediate || poll.leaving || hasNews(poll)) {
             answer.accept(reply(poll));
         } else {
@@ -150,6 +167,7 @@
         reply.whole = poll.epoch != reply.epoch || !poll.complete;
         reply.instances = registry.since(reply.whole ? 0 : poll.revision);
         reply.balancers = balancers.count(young);
+        reply.loads = fleet.tell(poll.load, reply.epoch, scheduler.now());
         reply.memberRevision = balancers.revision();
         if (reply.whole || poll.memberRevision != reply.memberRevision) {
             reply.balancerList = balancers.members();
--- a/src/main/java/yewyoke/dataplane/Attempt.java
+++ b/src/main/java/yewyoke/dataplane/Attempt.java
@@ -86,9 +86,14 @@
         return pick.tokensToRead();
     }
 
-    /** How long the first event may take by what this balancer had sent there. */
+    /** Whether it was sent where nobody was known to have a prompt read. */
+    boolean alone() {
+        return pick.alone();
+    }
+
+    /** How long the first event may take by what was known to be under way there. */
     double explainedMs() {
-        return pick.ownMs();
+        return pick.knownMs();
     }
 
     /** Tokens that the upstream has yet to read before this answer begins. */
--- a/src/main/java/yewyoke/dataplane/ControlPoller.java
+++ b/src/main/java/yewyoke/dataplane/ControlPoller.java
@@ -15,10 +15,12 @@
 import yewyoke.configuration.Json;
 import yewyoke.io.Scheduler;
 import yewyoke.membership.MembershipAgent;
+import yewyoke.message.LoadReport;
 import yewyoke.message.Message;
 import yewyoke.message.Poll;
 import yewyoke.message.PollReply;
 import yewyoke.message.QuotaAsk;
+import yewyoke.message.QuotaGrant;
 import yewyoke.replication.Peers;
 
 /**
@@ -72,6 +74,7 @@
         this.agent = agent;
         this.seedSource = seedSource;
         this.seeds = seedSource.get();
+        router.fleet().name(balancer);
     }
 
     /** Reads the seeds again. */
@@ -95,10 +98,18 @@
         if (epoch == 0 || target.isEmpty()) {
             answer.accept(null);
         } else {
-            peers.call(target, ask, timeoutMs, answer);
+            ask.load = router.fleet().report();
+            peers.call(target, ask, timeoutMs, reply -> granted(ask.load, reply, answer));
         }
     }
 
+    private void granted(LoadReport report, Message message, Consumer<Message> answer) {
+        if (message instanceof QuotaGrant grant && grant.valid) {
+            router.fleet().take(report, grant.loads, scheduler.now());
+        }
+        answer.accept(message);
+    }
+
     /** Whether a configuration is in force and the upstreams were told. */
     boolean ready() {
         return generation > 0 && epoch > 0;
@@ -123,9 +134,10 @@
         poll.address = address;
         poll.alive = agent.alive();
         poll.memberRevision = memberRevision;
+        poll.load = router.fleet().report();
         poll.underWay.addAll(router.directory().underWayAtLeaving());
         askedAt = scheduler.now();
-        peers.call(target, poll, TIMEOUT, this::answered);
+        peers.call(target, poll, TIMEOUT, message -> answered(poll.load, message));
     }
 
     private String nextTarget() {
@@ -145,7 +157,7 @@
         return scheduler.now() < avoidUntil.getOrDefault(address, 0L);
     }
 
-    private void answered(Message message) {
+    private void answered(LoadReport report, Message message) {
         if (leaving) {
             return;
         }
@@ -172,6 +184,7 @@
         }
         failures = 0;
         take(reply);
+        router.fleet().take(report, reply.loads, scheduler.now());
         poll();
     }
 
--- a/src/main/java/yewyoke/dataplane/Exchange.java
+++ b/src/main/java/yewyoke/dataplane/Exchange.java
@@ -126,7 +126,12 @@
         whole.reset();
         RequestHead head =
                 new RequestHead(
-                        client.head().method(), client.head().target(), headers(upstream, now));
+                        client.head().method(),
+                        client.head().target(),
+                        headers(upstream, now));
+        if (router.placement().worthKeeping(prompt)) {
+            router.fleet().sent(prompt, upstream, now);
+        }
         current = new Attempt(pick, head, client.body(), router.scheduler(), this);
         current.start(router.connections(), !route.repeatable());
     }
@@ -268,8 +273,8 @@
     private void firstEvent(Attempt attempt) {
         long now = router.now();
         long took = now - attempt.sentAt();
-        if (attempt.upstream().own() == 1) {
-            router.placement().learnSpeed(attempt.tokens(), took);
+        if (attempt.alone()) {
+            router.placement().speed().learn(attempt.tokens(), took);
         }
         attempt.upstream().delayed(Math.max(0, took - attempt.explainedMs()), now);
         attempt.begun();
@@ -372,7 +377,8 @@
         if (service.engine() == null) {
             return Math.max(PLAIN_SILENCE, SILENT_TIMES * upstream.took());
         }
-        return MODEL_SILENCE + 2 * upstream.backlogTokens() * router.placement().msPerToken();
+        return MODEL_SILENCE
+                + 2 * upstream.backlogTokens() * router.placement().speed().msPerToken();
     }
 
     // ---- The final answer
--- a/src/main/java/yewyoke/dataplane/Placement.java
+++ b/src/main/java/yewyoke/dataplane/Placement.java
@@ -1,6 +1,8 @@
 package yewyoke.dataplane;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +11,7 @@
 import yewyoke.WeightedSchedule;
 import yewyoke.configuration.Service;
 import yewyoke.message.InstanceRecord;
+import yewyoke.message.UpstreamLoad;
 
 /**
  * Which upstream a request goes to. Health, kept parts of prompts and the expected time to the
@@ -22,59 +25,51 @@
     private static final double HOME_KEPT = 0.7;
     private static final double SECOND_KEPT = 0.15;
     private static final double SPREAD_MS = 25;
-    private static final double FIRST_MS_PER_TOKEN = 0.016;
-    private static final double LEAST_MS_PER_TOKEN = 0.002;
-    private static final double MOST_MS_PER_TOKEN = 0.2;
+    private static final double DETOUR_MS = 40;
+    private static final double READ_ANEW_COST = 3;
     private static final double WAITING_MS = 40;
-    private static final int MEASURED_TOKENS = 1_500;
-    private static final double SPEED_STEP = 0.03;
-    private static final double BASE_MS = 8;
 
     private final UpstreamDirectory directory;
     private final UpstreamLinks connections;
+    private final FleetKnowledge fleet;
     private final Map<String, WeightedSchedule> schedules = new HashMap<>();
-    private double msPerToken = FIRST_MS_PER_TOKEN;
+    private final ReadingSpeed speed = new ReadingSpeed();
     private int balancers = 1;
 
-    Placement(UpstreamDirectory directory, UpstreamLinks connections) {
+    Placement(UpstreamDirectory directory, UpstreamLinks connections, FleetKnowledge fleet) {
         this.directory = directory;
+        this.fleet = fleet;
         this.connections = connections;
     }
 
     /**
-     * An upstream with what a request would find there; {@code ownMs} is the part that our requests
-     * explain.
+     * An upstream with what a request would find there; {@code knownMs} is the part that requests
+     * which are known of explain, and {@code alone} says that no prompt is read there.
      */
-    record Pick(Upstream upstream, int tokensToRead, double expectedMs, double ownMs) {}
+    record Pick(
+            Upstream upstream,
+            int tokensToRead,
+            double expectedMs,
+            double knownMs,
+            double costMs,
+            boolean alone) {}
 
     void balancers(int count) {
         balancers = Math.max(1, count);
     }
 
-    double msPerToken() {
-        return msPerToken;
+    ReadingSpeed speed() {
+        return speed;
     }
 
     /** Carries out a period of the reweighting, service by service. */
     void reweight(long now) {
         for (List<Upstream> upstreams : directory.byService().values()) {
-            upstreams.forEach(u -> u.derive(now, msPerToken));
+            upstreams.forEach(u -> u.derive(now, speed.msPerToken()));
             Reweighting.period(upstreams);
         }
     }
 
-    /** Learns the speed at which prompts are read from an answer that began at an idle upstream. */
-    void learnSpeed(int tokens, double tookMs) {
-        if (tokens < MEASURED_TOKENS) {
-            return;
-        }
-        double sample = Math.max(0, tookMs - BASE_MS) / tokens;
-        // Steps lead to the median: what others had cached or had under way there spoils single
-        // samples.
-        double step = sample > msPerToken ? 1 + SPEED_STEP : 1 - SPEED_STEP;
-        msPerToken = Math.max(LEAST_MS_PER_TOKEN, Math.min(MOST_MS_PER_TOKEN, msPerToken * step));
-    }
-
     /** Picks an upstream of a service, null if none can take the request now. */
     Pick pick(Service service, PromptParts prompt, Set<Upstream> tried, long now) {
         return pick(service, prompt, tried, InstanceRecord.UNKNOWN_WEIGHTS, now);
@@ -91,6 +86,17 @@
                 : pickModel(service, prompt, open, now);
     }
 
+    /** Where a request would likely go, null if that is not known; nothing is picked by it. */
+    UpstreamLoad likely(Service service, PromptParts prompt, long now) {
+        List<Upstream> open = open(service, Set.of(), now);
+        if (service.engine() == null || open.isEmpty()) {
+            return null;
+        }
+        Pick likely =
+                Collections.min(picks(prompt, open, now), Comparator.comparingDouble(Pick::costMs));
+        return UpstreamLoad.of(likely.upstream().key(), 1, likely.tokensToRead());
+    }
+
     private List<Upstream> open(Service service, Set<Upstream> tried, long now) {
         List<Upstream> all = directory.ready(service.name());
         int healthy = 0;
@@ -132,28 +138,19 @@
         open.forEach(u -> u.refresh(now));
         Upstream picked = schedule(service).pick(open);
         double line = Math.max(0, picked.inFlight() + 1 - picked.capacity());
-        return new Pick(picked, 0, line / picked.capacity() * picked.took(), 0);
+        double expected = line / picked.capacity() * picked.took();
+        return new Pick(picked, 0, expected, 0, expected, false);
     }
 
     private Pick pickModel(Service service, PromptParts prompt, List<Upstream> open, long now) {
-        Upstream home = ranked(open, prompt.subject(), null);
-        Upstream second = ranked(open, prompt.subject(), home);
-        List<Pick> picks = new ArrayList<>();
+        List<Pick> picks = picks(prompt, open, now);
         double least = Double.POSITIVE_INFINITY;
-        for (Upstream upstream : open) {
-            upstream.refresh(now);
-            Pick pick =
-                    expectation(
-                            upstream,
-                            prompt,
-                            upstream == home ? HOME_KEPT : upstream == second ? SECOND_KEPT : 0,
-                            now);
-            least = Math.min(least, pick.expectedMs());
-            picks.add(pick);
+        for (Pick pick : picks) {
+            least = Math.min(least, pick.costMs());
         }
         List<Upstream> near = new ArrayList<>();
         for (Pick pick : picks) {
-            if (pick.expectedMs() <= least + SPREAD_MS) {
+            if (pick.costMs() <= least + SPREAD_MS) {
                 near.add(pick.upstream());
             }
         }
@@ -161,6 +158,42 @@
         return picks.stream().filter(p -> p.upstream() == picked).findFirst().orElseThrow();
     }
 
+    private List<Pick> picks(PromptParts prompt, List<Upstream> open, long now) {
+        Upstream home = ranked(open, prompt.subject(), null);
+        Upstream second = ranked(open, prompt.subject(), home);
+        boolean inTouch = fleet.inTouch(now);
+        List<Pick> picks = new ArrayList<>();
+        for (Upstream upstream : open) {
+            upstream.refresh(now);
+            Rank rank =
+                    upstream == home ? Rank.HOME : upstream == second ? Rank.SECOND : Rank.OTHER;
+            Pick pick =
+                    inTouch
+                            ? expectationInTouch(upstream, prompt, rank, now)
+                            : expectationAlone(upstream, prompt, rank, now);
+            picks.add(pick);
+        }
+        return picks;
+    }
+
+    /** How likely a subject has its home at an upstream. */
+    private enum Rank {
+        HOME(HOME_KEPT, 0),
+        SECOND(SECOND_KEPT, DETOUR_MS),
+        OTHER(0, 2 * DETOUR_MS);
+
+        /** The part of what is shared that it keeps, for all that a balancer out of touch knows. */
+        private final double kept;
+
+        /** How much shorter a wait has to be for a new subject to go here rather than home. */
+        private final double detourMs;
+
+        Rank(double kept, double detourMs) {
+            this.kept = kept;
+            this.detourMs = detourMs;
+        }
+    }
+
     /**
      * The upstream at which a subject is at home, the same at every balancer that sees the same
      * ones.
@@ -183,22 +216,44 @@
         return upstream.rank(subject) > other.rank(subject);
     }
 
-    private Pick expectation(Upstream upstream, PromptParts prompt, double keptByOthers, long now) {
-        int total = prompt.total();
-        int shared =
-                prompt.tokens().length == 0
-                        ? 0
-                        : total - prompt.tokens()[prompt.tokens().length - 1];
-        double kept = Math.max(upstream.memory().kept(prompt, now), keptByOthers * shared);
-        double toRead = total - kept;
-        double places = Math.max(0, upstream.inFlight() + 1 - upstream.capacity()) * WAITING_MS;
-        double own = BASE_MS + (upstream.backlogTokens() + toRead) * msPerToken;
-        double expected =
-                own + upstream.extraDelay(now) + places + upstream.waiting(now) * WAITING_MS;
+    /** Whether the shared part of a prompt is so long that the others should know where it is. */
+    boolean worthKeeping(PromptParts prompt) {
+        return prompt.shared() * speed.msPerToken() > SPREAD_MS;
+    }
+
+    /**
+     * Where it is known what all keep and have under way. What is read anew costs the others at
+     * that upstream as much as the request itself; a new subject goes to its home unless the wait
+     * there is longer than elsewhere.
+     */
+    private Pick expectationInTouch(Upstream upstream, PromptParts prompt, Rank rank, long now) {
+        int kept = upstream.memory().kept(prompt, now);
+        double toReadAnew = Math.max(0, prompt.shared() - kept) * speed.msPerToken();
+        Pick pick = expectation(upstream, prompt, kept, now);
+        double detour = Math.min(rank.detourMs, toReadAnew);
         return new Pick(
                 upstream,
-                (int) Math.round(toRead),
-                expected / Math.max(0.1, 1 - upstream.errors()),
-                own);
+                pick.tokensToRead(),
+                pick.expectedMs(),
+                pick.knownMs(),
+                pick.expectedMs() + READ_ANEW_COST * toReadAnew + detour,
+                pick.alone());
+    }
+
+    /** Where only the own requests are known, homes are taken to keep what is theirs. */
+    private Pick expectationAlone(Upstream upstream, PromptParts prompt, Rank rank, long now) {
+        double kept = Math.max(upstream.memory().kept(prompt, now), rank.kept * prompt.shared());
+        return expectation(upstream, prompt, kept, now);
+    }
+
+    private Pick expectation(Upstream upstream, PromptParts prompt, double kept, long now) {
+        double toRead = prompt.total() - kept;
+        double places = Math.max(0, upstream.inFlight() + 1 - upstream.capacity()) * WAITING_MS;
+        double before = upstream.backlogTokens() + upstream.othersTokens(now);
+        double known = speed.baseMs() + (before + toRead) * speed.msPerToken();
+        double expected =
+                (known + upstream.extraDelay(now) + places + upstream.waiting(now) * WAITING_MS)
+                        / Math.max(0.1, 1 - upstream.errors());
+        return new Pick(upstream, (int) Math.round(toRead), expected, known, expected, before == 0);
     }
 }
--- a/src/main/java/yewyoke/dataplane/PromptParts.java
+++ b/src/main/java/yewyoke/dataplane/PromptParts.java
@@ -50,6 +50,11 @@
         return sum;
     }
 
+    /** Tokens of all parts but the last, which no other subject or session has. */
+    int shared() {
+        return tokens.length == 0 ? 0 : total() - tokens[tokens.length - 1];
+    }
+
     /** What requests of one subject or session have in common: all parts but the last. */
     long subject() {
         return chain.length == 0 ? 0 : chain[Math.max(0, chain.length - 2)];
--- a/src/main/java/yewyoke/dataplane/Router.java
+++ b/src/main/java/yewyoke/dataplane/Router.java
@@ -13,6 +13,7 @@
 import yewyoke.io.Headers;
 import yewyoke.io.Scheduler;
 import yewyoke.io.ServerExchange;
+import yewyoke.message.UpstreamLoad;
 
 /** The data plane's routing: from a request to its route, its tenant's quota and its exchange. */
 final class Router {
@@ -26,6 +27,7 @@
 
     private final Scheduler scheduler;
     private final UpstreamDirectory directory;
+    private final FleetKnowledge fleet;
     private final UpstreamLinks connections;
     private final Placement placement;
     private final Admission admission = new Admission();
@@ -48,7 +50,8 @@
         this.scheduler = scheduler;
         this.connections = connections;
         this.directory = new UpstreamDirectory(u -> connections.closeIdle());
-        this.placement = new Placement(directory, connections);
+        this.fleet = new FleetKnowledge(directory, seed);
+        this.placement = new Placement(directory, connections, fleet);
         this.budget = budget;
         this.random = new SplittableRandom(seed);
     }
@@ -138,6 +141,7 @@
         }
         double cost = TenantQuotas.cost(tenant, usage(client.head().headers().get(Names.USAGE)));
         quotas.time(now());
+        fleet.intends(() -> likely(client, route));
         quotas.admit(
                 tenant,
                 cost,
@@ -151,6 +155,17 @@
                     String pause = seconds(Math.min(LONGEST_QUOTA_PAUSE, wait));
                     client.respond(429, new Headers().add(Names.RETRY_AFTER, pause), NO_BYTES);
                 });
+        fleet.intends(FleetKnowledge.NOTHING);
+    }
+
+    /** Where a request that waits for its quota will likely go. */
+    private UpstreamLoad likely(ServerExchange client, Route route) {
+        if (route.shares().size() != 1) {
+            return null;
+        }
+        Service service = configuration.service(route.shares().get(0).service());
+        PromptParts prompt = PromptParts.parse(client.head().headers().get(Names.PREFIX));
+        return placement.likely(service, prompt, now());
     }
 
     /** Begins the exchange of a request that is allowed; the configuration may be newer by now. */
@@ -227,6 +242,10 @@
         return directory;
     }
 
+    FleetKnowledge fleet() {
+        return fleet;
+    }
+
     UpstreamLinks connections() {
         return connections;
     }
--- a/src/main/java/yewyoke/dataplane/Upstream.java
+++ b/src/main/java/yewyoke/dataplane/Upstream.java
@@ -5,6 +5,7 @@
 import yewyoke.WeightedSchedule;
 import yewyoke.configuration.Service;
 import yewyoke.message.InstanceRecord;
+import yewyoke.message.UpstreamLoad;
 
 /**
  * An incarnation of an upstream as this balancer sees it: what is under way there and how it does.
@@ -18,6 +19,7 @@
     private static final double BACKLOG_FULL_MS = 1_000;
 
     private InstanceRecord record;
+    private final int key;
     private long hash;
     private final Set<Attempt> attempts = new HashSet<>();
     private PrefixMemory memory = new PrefixMemory(0);
@@ -34,10 +36,14 @@
     private long ejection = FIRST_EJECTION;
     private int failuresInRow;
     private double inFlightNow;
+    private int sharedRequests;
+    private int sharedTokens;
+    private long sharedAt = Long.MIN_VALUE / 2;
 
     Upstream(InstanceRecord record) {
         this.record = record;
         this.hash = hashOf(record);
+        this.key = UpstreamLoad.keyOf(record.id);
     }
 
     /** The same for all incarnations that took over an ordinal one after the other. */
@@ -110,12 +116,37 @@
         return attempts.size();
     }
 
-    /** What others have there, from the last report while it is fresh. */
+    /** What others have there, by the newer of the upstream's own word and the balancers' sums. */
     double others(long now) {
+        if (sharedAt >= reportedAt) {
+            return sharedRequests * sharedPart(now);
+        }
         long age = now - reportedAt;
         return age > REPORT_FRESH ? 0 : others * (1 - age / (2.0 * REPORT_FRESH));
     }
 
+    /** Prompt tokens of other balancers whose answers have not begun. */
+    double othersTokens(long now) {
+        return sharedTokens * sharedPart(now);
+    }
+
+    /** Sums count less the older they are, and nothing once they are old. */
+    private double sharedPart(long now) {
+        return Math.max(0, 1 - (now - sharedAt) / (double) FleetKnowledge.FRESH);
+    }
+
+    /** The other balancers have this under way here. */
+    void sharedLoad(int requests, int tokens, long now) {
+        sharedRequests = requests;
+        sharedTokens = tokens;
+        sharedAt = now;
+    }
+
+    /** The number by which the balancers name this incarnation to each other. */
+    int key() {
+        return key;
+    }
+
     void refresh(long now) {
         inFlightNow = own() + others(now);
     }
@@ -219,14 +250,18 @@
      */
     void derive(long now, double msPerToken) {
         refresh(now);
-        boolean fresh = now - reportedAt <= REPORT_FRESH || own() > 0;
+        boolean told = now - reportedAt <= REPORT_FRESH || now - sharedAt <= FleetKnowledge.FRESH;
+        boolean fresh = told || own() > 0;
         if (!fresh) {
             utilisation = Double.NaN;
             return;
         }
         double places = Math.min(1, inFlight() / capacity());
         double backlog =
-                Math.min(1, (backlogTokens() * msPerToken + extraDelay(now)) / BACKLOG_FULL_MS);
+                Math.min(
+                        1,
+                        ((backlogTokens() + othersTokens(now)) * msPerToken + extraDelay(now))
+                                / BACKLOG_FULL_MS);
         utilisation = Math.min(1, Math.max(places, backlog) + errors);
     }
 }
--- a/src/main/java/yewyoke/dataplane/UpstreamDirectory.java
+++ b/src/main/java/yewyoke/dataplane/UpstreamDirectory.java
@@ -14,7 +14,9 @@
 import yewyoke.configuration.Service;
 import yewyoke.message.InstanceRecord;
 import yewyoke.message.InstanceRecord.Stage;
+import yewyoke.message.KeptPrompt;
 import yewyoke.message.UnderWay;
+import yewyoke.message.UpstreamLoad;
 
 /**
  * The upstreams that this balancer knows, by service. One that drains or is gone never comes back.
@@ -149,6 +151,37 @@
         return readyByService;
     }
 
+    /** All that are known, ready or not. */
+    Collection<Upstream> all() {
+        return byId.values();
+    }
+
+    /** Takes what the other balancers have under way. */
+    void takeLoads(List<UpstreamLoad> loads, long now) {
+        Map<Integer, UpstreamLoad> byKey = new HashMap<>();
+        loads.forEach(load -> byKey.put(load.upstream, load));
+        for (Upstream upstream : byId.values()) {
+            UpstreamLoad load = byKey.get(upstream.key());
+            upstream.sharedLoad(
+                    load == null ? 0 : load.requests, load == null ? 0 : load.tokens, now);
+        }
+    }
+
+    /** Takes what upstreams keep by what other balancers sent them. */
+    void takePrompts(List<KeptPrompt> prompts, long now) {
+        if (prompts.isEmpty()) {
+            return;
+        }
+        Map<Integer, Upstream> byKey = new HashMap<>();
+        byId.values().forEach(upstream -> byKey.put(upstream.key(), upstream));
+        for (KeptPrompt kept : prompts) {
+            Upstream upstream = byKey.get(kept.upstream);
+            if (upstream != null) {
+                upstream.memory().told(kept.prompt, now);
+            }
+        }
+    }
+
     int size() {
         return byId.size();
     }
--- a/src/main/java/yewyoke/message/Poll.java
+++ b/src/main/java/yewyoke/message/Poll.java
@@ -40,4 +40,7 @@
 
     /** Whether news are wanted at once, even if there are none. */
     public boolean immediate;
+
+    /** What the balancer has under way, null if it does not say. */
+    public LoadReport load;
 }
--- a/src/main/java/yewyoke/message/PollReply.java
+++ b/src/main/java/yewyoke/message/PollReply.java
@@ -46,4 +46,7 @@
 
     /** How many balancers there are. */
     public int balancers;
+
+    /** What the other balancers have under way, null if that is not known. */
+    public FleetLoads loads;
 }
--- a/src/main/java/yewyoke/message/QuotaAsk.java
+++ b/src/main/java/yewyoke/message/QuotaAsk.java
@@ -8,6 +8,9 @@
     /** Units that a request counts. */
     public double units;
 
+    /** What the balancer has under way, null if it does not say. */
+    public LoadReport load;
+
     /** Creates a message from its parts. */
     public static QuotaAsk of(String tenant, double units) {
         QuotaAsk message = new QuotaAsk();
--- a/src/main/java/yewyoke/message/QuotaGrant.java
+++ b/src/main/java/yewyoke/message/QuotaGrant.java
@@ -11,6 +11,9 @@
     /** Without a grant, milliseconds until there may be one. */
     public long waitMs;
 
+    /** What the other balancers have under way, null if that is not known. */
+    public FleetLoads loads;
+
     /** Creates a message from its parts. */
     public static QuotaGrant of(boolean valid, double units, long waitMs) {
         QuotaGrant message = new QuotaGrant();
