--- a/src/main/java/yewyoke/dataplane/Exchange.java
+++ b/src/main/java/yewyoke/dataplane/Exchange.java
@@ -122,13 +122,14 @@
         become(state == State.STREAMING ? State.STREAMING : State.AWAITING);
         Upstream upstream = pick.upstream();
         tried.add(upstream);
+        double readingMs = pick.tokensToRead() * router.placement().speed().msPerToken();
         splitter = new EventSplitter();
         whole.reset();
         RequestHead head =
                 new RequestHead(
                         client.head().method(),
                         client.head().target(),
-                        headers(upstream, now));
+                        headers(upstream, readingMs, now));
         if (router.placement().worthKeeping(prompt)) {
             router.fleet().sent(prompt, upstream, now);
         }
@@ -136,7 +137,7 @@
         current.start(router.connections(), !route.repeatable());
     }
 
-    private Headers headers(Upstream upstream, long now) {
+    private Headers headers(Upstream upstream, double readingMs, long now) {
         Headers headers = Names.forUpstream(client.head().headers());
         headers.add(Names.DEADLINE, Long.toString(Math.max(1, deadlineAt - now)));
         headers.add(Names.INSTANCE, upstream.record().id);
@@ -153,7 +154,8 @@
         if (service.engine() != null) {
             headers.add(
                     Names.PRIORITY,
-                    Integer.toString(Math.min(LAST_PRIORITY, before + route.priority())));
+                    Integer.toString(
+                            Math.min(LAST_PRIORITY, before + Urgency.rank(route, readingMs))));
         }
         return headers;
     }
--- a/src/test/java/yewyoke/dataplane/ExchangeTest.java
+++ b/src/test/java/yewyoke/dataplane/ExchangeTest.java
@@ -106,7 +106,7 @@
         assertEquals("t1", sent.header(Names.TENANT));
         assertEquals(sent.upstream.record().id, sent.header(Names.INSTANCE));
         assertEquals("8000", sent.header(Names.DEADLINE));
-        assertEquals("4", sent.header(Names.PRIORITY));
+        assertEquals("3", sent.header(Names.PRIORITY)); // of tenants of rank 1, nothing to read
         assertEquals("a1", sent.header(Names.ATTEMPT));
         assertEquals("2", sent.header("X-Other"));
         assertEquals("12", sent.header(Names.LAST_EVENT));
--- /dev/null
+++ b/src/test/java/yewyoke/dataplane/UrgencyTest.java
@@ -0,0 +1,45 @@
+package yewyoke.dataplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import yewyoke.configuration.Configuration;
+import yewyoke.configuration.Json;
+import yewyoke.configuration.Route;
+
+/** The rank of a request at a model upstream. */
+class UrgencyTest {
+    private static Route route(int targetMs, int priority) {
+        String text =
+                "{\"generation\":1,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+                        + "\"path_prefix\":\"/r/\",\"type\":\"streaming\",\"backend\":\"m\","
+                        + "\"timeout_ms\":8000,\"target_latency_ms\":"
+                        + targetMs
+                        + ",\"priority\":"
+                        + priority
+                        + "}],\"services\":[{\"name\":\"m\"}]}";
+        return Configuration.read(Json.readObject(text.getBytes(StandardCharsets.UTF_8)))
+                .route("h", "/r/1");
+    }
+
+    @Test
+    void whatTakesLittleOfItsObjectiveGoesFirst() {
+        Route route = route(800, 1);
+        assertEquals(0, Urgency.rank(route, 0));
+        assertEquals(0, Urgency.rank(route, 100));
+        assertEquals(1, Urgency.rank(route, 200));
+        assertEquals(2, Urgency.rank(route, 700));
+    }
+
+    @Test
+    void theSamePromptIsMoreUrgentTheShorterItsObjective() {
+        assertEquals(1, Urgency.rank(route(500, 0), 100));
+        assertEquals(0, Urgency.rank(route(2_000, 0), 100));
+    }
+
+    @Test
+    void aRouteWithoutAnObjectiveIsNotUrgent() {
+        assertEquals(2, Urgency.rank(route(0, 0), 100));
+    }
+}
