--- a/src/test/java/yewyoke/control/model/ModelBalancer.java
+++ b/src/test/java/yewyoke/control/model/ModelBalancer.java
@@ -2,17 +2,23 @@
 
 import java.util.List;
 import yewyoke.configuration.Compression;
+import yewyoke.message.FleetLoads;
 import yewyoke.message.InstanceRecord;
 import yewyoke.message.InstanceRecord.Stage;
+import yewyoke.message.KeptPrompt;
+import yewyoke.message.LoadReport;
 import yewyoke.message.Message;
 import yewyoke.message.MessageCodec;
 import yewyoke.message.Poll;
 import yewyoke.message.PollReply;
+import yewyoke.message.UpstreamLoad;
 
 /** A balancer as the control plane sees it: it polls, and never goes back. */
 final class ModelBalancer {
     private static final long TIMEOUT = 750;
     private static final long PAUSE = 50;
+    private static final int UPSTREAM = 7;
+    private static final int REQUESTS = 5;
 
     private final ControlModel model;
     private final String name;
@@ -22,6 +28,9 @@
     private long revision;
     private boolean complete;
     private long newestAtAsk;
+    private long reports;
+    private long fleetEpoch;
+    private long promptRevision;
 
     ModelBalancer(ControlModel model, String name) {
         this.model = model;
@@ -45,6 +54,7 @@
         poll.generation = generation;
         poll.revision = revision;
         poll.complete = complete;
+        poll.load = report();
         long sentAt = model.clock.now();
         newestAtAsk = model.history.newest();
         ModelNode.OneAnswer once = new ModelNode.OneAnswer(reply -> answered(sentAt, reply));
@@ -67,7 +77,37 @@
         model.clock.schedule(PAUSE, this::poll);
     }
 
+    /** Each balancer has as much under way as the others, so sums that double show. */
+    private LoadReport report() {
+        LoadReport report = new LoadReport();
+        report.balancer = name;
+        report.process = 1;
+        report.sequence = ++reports;
+        report.epoch = fleetEpoch;
+        report.promptRevision = promptRevision;
+        report.loads.add(UpstreamLoad.of(UPSTREAM, REQUESTS, 0));
+        report.prompts.add(KeptPrompt.of(name.hashCode(), UPSTREAM));
+        return report;
+    }
+
+    private void takeLoads(FleetLoads told) {
+        fleetEpoch = told.epoch;
+        promptRevision = told.promptRevision;
+        int most = REQUESTS * (model.balancers.size() - 1);
+        for (UpstreamLoad load : told.loads) {
+            if (load.upstream != UPSTREAM || load.requests > most) {
+                model.history.fault(name + " is told " + load.requests + " requests of " + most);
+            }
+        }
+        if (told.prompts.size() > model.balancers.size()) {
+            model.history.fault(name + " is told of " + told.prompts.size() + " prompts");
+        }
+    }
+
     private void take(PollReply reply, long sentAt) {
+        if (reply.loads != null) {
+            takeLoads(reply.loads);
+        }
         complete = reply.complete || complete && reply.epoch == epoch;
         epoch = reply.epoch;
         revision = reply.revision;
