--- a/src/main/java/yewyoke/control/Rehearsal.java
+++ b/src/main/java/yewyoke/control/Rehearsal.java
@@ -13,8 +13,11 @@
 import yewyoke.io.EventLoop;
 import yewyoke.io.Headers;
 import yewyoke.io.RequestHead;
+import yewyoke.message.KeptPrompt;
+import yewyoke.message.LoadReport;
 import yewyoke.message.Poll;
 import yewyoke.message.QuotaAsk;
+import yewyoke.message.UpstreamLoad;
 import yewyoke.process.Address;
 import yewyoke.process.NodeSettings;
 import yewyoke.rpc.OneCall;
@@ -108,8 +111,12 @@
                     call("GET", "/status", "", "");
                     call("DELETE", "/instances/i", "", "");
                     PeerClient peers = new PeerClient(loop);
-                    peers.call(HOST + ":" + internal, new Poll(), STEP, answer -> {});
-                    peers.call(HOST + ":" + internal, QuotaAsk.of("t", 1), STEP, answer -> {});
+                    Poll poll = new Poll();
+                    poll.load = report();
+                    peers.call(HOST + ":" + internal, poll, STEP, answer -> {});
+                    QuotaAsk ask = QuotaAsk.of("t", 1);
+                    ask.load = report();
+                    peers.call(HOST + ":" + internal, ask, STEP, answer -> {});
                     loop.schedule(
                             2 * STEP,
                             () -> {
@@ -119,6 +126,15 @@
                 });
     }
 
+    private static LoadReport report() {
+        LoadReport report = new LoadReport();
+        report.balancer = "e";
+        report.sequence = 1;
+        report.loads.add(UpstreamLoad.of(1, 1, 1));
+        report.prompts.add(KeptPrompt.of(1, 1));
+        return report;
+    }
+
     private void call(String method, String path, String match, String body) {
         Headers headers = new Headers().add("Host", "h").add("Content-Type", "application/json");
         if (!match.isEmpty()) {
--- a/src/main/java/yewyoke/dataplane/Rehearsal.java
+++ b/src/main/java/yewyoke/dataplane/Rehearsal.java
@@ -14,14 +14,17 @@
 import yewyoke.io.HttpServer;
 import yewyoke.io.RequestHead;
 import yewyoke.io.ServerExchange;
+import yewyoke.message.FleetLoads;
 import yewyoke.message.FleetMember;
 import yewyoke.message.InstanceRecord;
 import yewyoke.message.InstanceRecord.Stage;
+import yewyoke.message.KeptPrompt;
 import yewyoke.message.Message;
 import yewyoke.message.Poll;
 import yewyoke.message.PollReply;
 import yewyoke.message.QuotaAsk;
 import yewyoke.message.QuotaGrant;
+import yewyoke.message.UpstreamLoad;
 import yewyoke.process.Address;
 import yewyoke.process.NodeSettings;
 import yewyoke.rpc.MessageServer;
@@ -109,7 +112,9 @@
 
     private void control(Message message, java.util.function.Consumer<Message> answer) {
         if (message instanceof QuotaAsk ask) {
-            answer.accept(QuotaGrant.of(true, ask.units, 0));
+            QuotaGrant grant = QuotaGrant.of(true, ask.units, 0);
+            grant.loads = loads();
+            answer.accept(grant);
         } else if (message instanceof Poll poll && poll.generation == 0) {
             PollReply reply = new PollReply();
             reply.valid = true;
@@ -126,10 +131,21 @@
                             FleetMember.of("n", HOST + ":" + control),
                             FleetMember.of("m", HOST + ":" + control));
             reply.instances = List.of(instance("i", "s"), instance("j", "p"));
+            reply.loads = loads();
             answer.accept(reply);
         }
     }
 
+    private static FleetLoads loads() {
+        FleetLoads loads = new FleetLoads();
+        loads.epoch = 1;
+        loads.known = true;
+        loads.promptRevision = 1;
+        loads.loads.add(UpstreamLoad.of(UpstreamLoad.keyOf("i"), 1, 1));
+        loads.prompts.add(KeptPrompt.of(1, UpstreamLoad.keyOf("i")));
+        return loads;
+    }
+
     private InstanceRecord instance(String id, String service) {
         return InstanceRecord.of(id, service, HOST + ":" + upstream, "z", 64, "v1", Stage.READY, 1);
     }
