--- a/src/main/java/yewyoke/dataplane/Placement.java
+++ b/src/main/java/yewyoke/dataplane/Placement.java
@@ -167,30 +167,26 @@
             upstream.refresh(now);
             Rank rank =
                     upstream == home ? Rank.HOME : upstream == second ? Rank.SECOND : Rank.OTHER;
-            Pick pick =
-                    inTouch
-                            ? expectationInTouch(upstream, prompt, rank, now)
-                            : expectationAlone(upstream, prompt, rank, now);
-            picks.add(pick);
+            picks.add(cost(upstream, prompt, rank, inTouch, now));
         }
         return picks;
     }
 
-    /** How likely a subject has its home at an upstream. */
+    /** How likely a new subject has its home at an upstream. */
     private enum Rank {
-        HOME(HOME_KEPT, 0),
-        SECOND(SECOND_KEPT, DETOUR_MS),
-        OTHER(0, 2 * DETOUR_MS);
-
-        /** The part of what is shared that it keeps, for all that a balancer out of touch knows. */
-        private final double kept;
+        HOME(0, 0),
+        SECOND(DETOUR_MS, 1 - SECOND_KEPT / HOME_KEPT),
+        OTHER(2 * DETOUR_MS, 1);
 
         /** How much shorter a wait has to be for a new subject to go here rather than home. */
         private final double detourMs;
 
-        Rank(double kept, double detourMs) {
-            this.kept = kept;
+        /** The same out of touch, as a part of the time that what homes may keep takes to read. */
+        private final double detourPart;
+
+        Rank(double detourMs, double detourPart) {
             this.detourMs = detourMs;
+            this.detourPart = detourPart;
         }
     }
 
@@ -222,15 +218,19 @@
     }
 
     /**
-     * Where it is known what all keep and have under way. What is read anew costs the others at
-     * that upstream as much as the request itself; a new subject goes to its home unless the wait
-     * there is longer than elsewhere.
+     * What a request costs at an upstream, itself and those behind it: what is read anew costs the
+     * others there several times its time. A new subject goes to its home unless the wait there is
+     * clearly longer than elsewhere. Out of touch the waits are not known, nor where others sent
+     * the subject lately, so that much more speaks for the home.
      */
-    private Pick expectationInTouch(Upstream upstream, PromptParts prompt, Rank rank, long now) {
+    private Pick cost(Upstream upstream, PromptParts prompt, Rank rank, boolean inTouch, long now) {
         int kept = upstream.memory().kept(prompt, now);
         double toReadAnew = Math.max(0, prompt.shared() - kept) * speed.msPerToken();
         Pick pick = expectation(upstream, prompt, kept, now);
-        double detour = Math.min(rank.detourMs, toReadAnew);
+        double detour =
+                inTouch
+                        ? Math.min(rank.detourMs, toReadAnew)
+                        : rank.detourPart * HOME_KEPT * toReadAnew;
         return new Pick(
                 upstream,
                 pick.tokensToRead(),
@@ -240,12 +240,6 @@
                 pick.alone());
     }
 
-    /** Where only the own requests are known, homes are taken to keep what is theirs. */
-    private Pick expectationAlone(Upstream upstream, PromptParts prompt, Rank rank, long now) {
-        double kept = Math.max(upstream.memory().kept(prompt, now), rank.kept * prompt.shared());
-        return expectation(upstream, prompt, kept, now);
-    }
-
     private Pick expectation(Upstream upstream, PromptParts prompt, double kept, long now) {
         double toRead = prompt.total() - kept;
         double places = Math.max(0, upstream.inFlight() + 1 - upstream.capacity()) * WAITING_MS;
--- a/src/test/java/yewyoke/dataplane/PlacementTest.java
+++ b/src/test/java/yewyoke/dataplane/PlacementTest.java
@@ -148,6 +148,17 @@
         assertEquals(home, view.pick("a:9000,x:100", later));
     }
 
+    @Test
+    void aSubjectStaysWhereItIsKeptWhileNoPrimaryTellsAnything() {
+        View view = new View();
+        Upstream home = view.pick("a:9000,x:100", NOW);
+        Upstream keeper = other(view, home);
+        view.tell(keeps("a:9000,x:100", keeper), NOW);
+        long later = NOW + FleetKnowledge.FRESH + 1;
+        keeper.delayed(300, later); // one late answer, and more than a home is thought to save
+        assertEquals(keeper, view.pick("a:9000,y:100", later));
+    }
+
     @Test
     void outOfTouchAndInTouchASubjectHasTheSameHome() {
         View alone = new View();
