--- a/src/main/java/yewyoke/control/PollDistribution.java
+++ b/src/main/java/yewyoke/control/PollDistribution.java
@@ -138,6 +138,7 @@
         PollReply reply = new PollReply();
         Member primary = replica.primary();
         reply.primary = primary == null || primary.equals(replica.self()) ? "" : primary.address;
+        reply.epoch = replica.view() == null ? 0 : replica.view().epoch;
         reply.members = addresses();
         return reply;
     }
--- a/src/main/java/yewyoke/dataplane/ControlPoller.java
+++ b/src/main/java/yewyoke/dataplane/ControlPoller.java
@@ -44,13 +44,14 @@
     private final MembershipAgent agent;
     private final Supplier<List<String>> seedSource;
     private List<String> seeds;
-    private final Map<String, Long> avoidUntil = new HashMap<>();
+    private final Map<String, Silence> silences = new HashMap<>();
     private List<String> members = List.of();
     private String target = "";
     private int turn;
     private int failures;
     private long askedAt;
     private long epoch;
+    private long namedEpoch;
     private long generation;
     private long revision;
     private boolean complete;
@@ -58,6 +59,9 @@
     private long memberRevision;
     private boolean leaving;
 
+    /** A node that did not answer, and the latest epoch that was known then. */
+    private record Silence(long avoidedUntil, long epoch) {}
+
     ControlPoller(
             Scheduler scheduler,
             Peers peers,
@@ -154,7 +158,20 @@
     }
 
     private boolean avoided(String address) {
-        return scheduler.now() < avoidUntil.getOrDefault(address, 0L);
+        Silence silence = silences.get(address);
+        return silence != null && scheduler.now() < silence.avoidedUntil();
+    }
+
+    /**
+     * Who names a primary of a later epoch than any that was known when that node was silent knows
+     * better: it was elected since.
+     */
+    private void named(String primary, long told) {
+        namedEpoch = Math.max(namedEpoch, told);
+        Silence silence = silences.get(primary);
+        if (silence != null && told > silence.epoch()) {
+            silences.remove(primary);
+        }
     }
 
     private void answered(LoadReport report, Message message) {
@@ -163,8 +180,10 @@
         }
         if (!(message instanceof PollReply reply)) {
             if (scheduler.now() - askedAt > SILENT) {
-                avoidUntil.put(
-                        target, scheduler.now() + AVOIDED); // one that refuses may just be starting
+                // one that refuses may just be starting
+                silences.put(
+                        target,
+                        new Silence(scheduler.now() + AVOIDED, Math.max(epoch, namedEpoch)));
             }
             if (++failures % READ_SEEDS_AFTER == 0) {
                 readSeeds();
@@ -177,6 +196,7 @@
             members = reply.members;
         }
         if (!reply.valid || reply.epoch < epoch) {
+            named(reply.primary, reply.epoch);
             boolean useless = reply.primary.equals(target) || avoided(reply.primary);
             target = useless ? "" : reply.primary;
             scheduler.schedule(PAUSE, this::poll);
--- a/src/main/java/yewyoke/message/PollReply.java
+++ b/src/main/java/yewyoke/message/PollReply.java
@@ -6,8 +6,8 @@
 /** The answer to a {@link Poll}. */
 public final class PollReply implements Message {
     /**
-     * Whether the answering node is primary; if not, only {@code members} and {@code primary} are
-     * told.
+     * Whether the answering node is primary; if not, only {@code members}, {@code primary} and
+     * {@code epoch} are told.
      */
     public boolean valid;
 
@@ -17,7 +17,7 @@
     /** Addresses of all control nodes. */
     public List<String> members = new ArrayList<>();
 
-    /** The epoch. */
+    /** The epoch; of a node that is not primary, the latest that it knows. */
     public long epoch;
 
     /** The number of the configuration. */
--- a/src/test/java/yewyoke/dataplane/ControlPollerTest.java
+++ b/src/test/java/yewyoke/dataplane/ControlPollerTest.java
@@ -115,6 +115,51 @@
         assertTrue(List.of("a:1", "b:1").contains(last()));
     }
 
+    private static PollReply names(String primary, long epoch) {
+        PollReply reply = new PollReply();
+        reply.primary = primary;
+        reply.epoch = epoch;
+        return reply;
+    }
+
+    private void isSilent() {
+        clock.run(750);
+        answer.accept(null);
+        clock.run(60);
+    }
+
+    @Test
+    void aNodeThatWasSilentIsAskedOnceItIsNamedPrimaryOfALaterEpoch() {
+        assertEquals("a:1", last());
+        isSilent(); // its machine was about to start
+        assertEquals("b:1", last());
+        answer.accept(names("a:1", 4));
+        clock.run(60);
+        assertEquals("a:1", last());
+    }
+
+    @Test
+    void aDeadPrimaryIsNotAskedOnTheWordOfThoseWhoKnowNoLaterEpoch() {
+        answer.accept(reply(3, 7));
+        assertEquals("a:1", last());
+        isSilent();
+        answer.accept(names("a:1", 3));
+        clock.run(60);
+        assertEquals("c:1", last());
+    }
+
+    @Test
+    void aDeadPrimaryCostsABalancerThatJustStartedTwoCallsAtMost() {
+        isSilent();
+        answer.accept(names("a:1", 4));
+        clock.run(60);
+        assertEquals("a:1", last());
+        isSilent();
+        answer.accept(names("a:1", 4));
+        clock.run(60);
+        assertTrue(List.of("b:1", "c:1").contains(last()));
+    }
+
     @Test
     void aBackupsWordLeadsToThePrimary() {
         PollReply other = new PollReply();
