--- a/src/test/java/yewyoke/control/ControlProcesses.java
+++ b/src/test/java/yewyoke/control/ControlProcesses.java
@@ -17,6 +17,12 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import yewyoke.message.FleetLoads;
+import yewyoke.message.LoadReport;
+import yewyoke.message.Message;
+import yewyoke.message.MessageCodec;
+import yewyoke.message.Poll;
+import yewyoke.message.PollReply;
 
 /** Real processes of the control plane on loopback addresses, each with a folder as its disk. */
 final class ControlProcesses implements AutoCloseable {
@@ -131,6 +137,44 @@
         }
     }
 
+    /** What a node answers to a message of the fleet; null if it does not. */
+    Message message(String name, Message message) throws InterruptedException {
+        URI uri = URI.create("http://" + ip(name) + ":" + INTERNAL_PORT + "/message");
+        byte[] bytes = MessageCodec.encode(message);
+        HttpRequest request =
+                HttpRequest.newBuilder(uri)
+                        .timeout(CALL)
+                        .POST(HttpRequest.BodyPublishers.ofByteArray(bytes))
+                        .build();
+        try {
+            HttpResponse<byte[]> answer =
+                    http.send(request, HttpResponse.BodyHandlers.ofByteArray());
+            return answer.statusCode() == 200 ? MessageCodec.decode(answer.body()) : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /** Polls one node after the other until one answers as primary and knows the fleet's loads. */
+    FleetLoads loads(LoadReport report) throws InterruptedException {
+        long end = System.nanoTime() + PATIENCE * 1_000_000;
+        while (System.nanoTime() < end) {
+            for (String name : names()) {
+                Poll poll = new Poll();
+                poll.balancer = report.balancer;
+                poll.address = report.balancer + ":1";
+                poll.immediate = true;
+                poll.load = report;
+                if (message(name, poll) instanceof PollReply reply
+                        && reply.valid
+                        && reply.loads.known) {
+                    return reply.loads;
+                }
+            }
+        }
+        throw new AssertionError("nobody knows the loads");
+    }
+
     /** Sends a change to one node after the other until it is acknowledged. */
     void change(long match, long generation) throws InterruptedException {
         String body = "{\"generation\":" + generation + ",\"services\":[{\"name\":\"s\"}]}";
--- a/src/test/java/yewyoke/control/ControlProcessesTest.java
+++ b/src/test/java/yewyoke/control/ControlProcessesTest.java
@@ -10,9 +10,14 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import yewyoke.message.FleetLoads;
+import yewyoke.message.KeptPrompt;
+import yewyoke.message.LoadReport;
+import yewyoke.message.UpstreamLoad;
 
 /** The worst days with real processes, sockets and files. */
 class ControlProcessesTest {
+    private static final int UPSTREAM = 9;
     private static final List<String> FIRST = List.of("n0", "n1", "n2");
 
     @TempDir Path folder;
@@ -69,6 +74,35 @@
         }
     }
 
+    private static LoadReport report(String balancer, long sequence, int requests) {
+        LoadReport report = new LoadReport();
+        report.balancer = balancer;
+        report.process = 1;
+        report.sequence = sequence;
+        report.loads.add(UpstreamLoad.of(UPSTREAM, requests, 100 * requests));
+        report.prompts.add(KeptPrompt.of(77, UPSTREAM));
+        return report;
+    }
+
+    @Test
+    void balancersAreToldOfEachOthersLoadsAlsoByTheNextLeader() throws Exception {
+        try (ControlProcesses processes = started()) {
+            processes.loads(report("a", 1, 5));
+            processes.loads(report("a", 1, 5)); // sent again
+            FleetLoads told = processes.loads(report("b", 1, 2));
+            assertEquals(1, told.loads.size());
+            assertEquals(5, told.loads.get(0).requests);
+            assertEquals(1, told.prompts.size());
+
+            processes.kill(processes.leader());
+            processes.loads(report("a", 2, 4));
+            FleetLoads after = processes.loads(report("b", 2, 2));
+            assertTrue(after.epoch > told.epoch);
+            assertEquals(1, after.loads.size());
+            assertEquals(4, after.loads.get(0).requests);
+        }
+    }
+
     @Test
     void aMemberThatMissedHundredsOfChangesIsWholeOnceItHasCaughtUp() throws Exception {
         try (ControlProcesses processes = started()) {
