End a resumed stream that is rejected, and keep what an upstream answered

Cause: a resumption that the next upstream rejected with 400 was answered by a second response on one that had begun, which the exchange ignores, so the stream hung. A lost attempt was not counted towards the retries after an earlier head. A retry after an unresponsive upstream went through admission as if nothing had been sent, and could end in a 503 although the request may have run; so could one whose first upstream had answered 500. Change: attempts are counted by what was sent; a rejected resumption is taken up elsewhere within the retries or aborts the stream; a failure that an upstream made is kept and passed on if no other upstream serves the request; a 400 is passed on with its body.

--- a/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
+++ b/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
@@ -63,7 +63,6 @@
     private State state = State.PICKING_UPSTREAM;
     private Attempt current;
     private boolean mayHaveRun;
-    private int responses;
     private int unsentAttempts;
 
     /**
@@ -136,7 +135,12 @@
     }
 
     private boolean isFirstAttempt() {
-        return responses == 0 && unsentAttempts == 0;
+        return triedUpstreams.isEmpty();
+    }
+
+    /** To how many upstreams the request was sent, whatever came of it. */
+    private int sentAttempts() {
+        return triedUpstreams.size() - unsentAttempts;
     }
 
     private boolean isDeadlineReached(long nowMs) {
@@ -219,7 +223,6 @@
         if (attempt != current) {
             return;
         }
-        responses++;
         attempt.upstream()
                 .updateReportedLoad(
                         head.headers().get(HeaderNames.UPSTREAM_LOAD), dataPlane.nowMs());
@@ -250,19 +253,22 @@
         return head.status() >= 300 || head.headers().get(HeaderNames.UPSTREAM_SIGNATURE) != null;
     }
 
-    /** The upstream says that it did not run the request. */
+    /**
+     * The upstream says that it did not run the request. Its 400 is the client's response, since
+     * others would answer the same, unless the client has received a part of another response.
+     */
     private void attemptRejected(Attempt attempt, ResponseHead head) {
         count(Event.REJECTED);
+        if (head.status() == BAD_REQUEST && state != State.STREAMING_RESPONSE) {
+            response.acceptHead(head);
+            return;
+        }
         current = null;
         attempt.cancel();
         if (head.status() == MISDIRECTED_REQUEST && !canResumeWithSameWeights(attempt.upstream())) {
             dataPlane.directory().markGone(attempt.upstream());
-        } else if (head.status() == BAD_REQUEST) {
-            transitionTo(State.COMPLETED);
-            response.respond(BAD_REQUEST, HeaderForwarding.toClient(head.headers()));
-            return;
         }
-        if (dataPlane.retryPolicy().shouldRetryRejection(route, service, responses)) {
+        if (dataPlane.retryPolicy().shouldRetryRejection(route, service, sentAttempts())) {
             tryNextUpstream();
         } else {
             giveUp();
@@ -331,6 +337,7 @@
         boolean isServerError = response.status() >= 500;
         if (isServerError && shouldRetryFailure()) {
             attempt.upstream().requestFailed(dataPlane.nowMs());
+            response.keepFailure();
             tryNextUpstream();
             return;
         }
@@ -361,13 +368,9 @@
 
     @Override
     public void onConnectionLost(Attempt attempt) {
-        if (attempt != current) {
-            return;
-        }
-        if (!response.hasHead()) {
-            responses++;
+        if (attempt == current) {
+            attemptFailed(attempt);
         }
-        attemptFailed(attempt);
     }
 
     /** The request may have run and there is no complete response. */
@@ -387,7 +390,7 @@
         boolean deadlineReached = isDeadlineReached(dataPlane.nowMs());
         return dataPlane
                 .retryPolicy()
-                .shouldRetryFailure(route, service, triedUpstreams.size(), deadlineReached);
+                .shouldRetryFailure(route, service, sentAttempts(), deadlineReached);
     }
 
     /** Ends the request at its deadline, or retries it if its upstream is unresponsive. */
@@ -416,7 +419,10 @@
         }
     }
 
-    /** Ends the request as it stands: a rejection if it never ran, else an error. */
+    /**
+     * Ends the request as it stands: a rejection if it never ran, else the failure that an upstream
+     * answered with, or an error if none did.
+     */
     private void giveUp() {
         Attempt last = current;
         current = null;
@@ -427,6 +433,9 @@
         if (state == State.STREAMING_RESPONSE) {
             transitionTo(State.COMPLETED);
             response.abortStream();
+        } else if (response.hasKeptFailure()) {
+            transitionTo(State.COMPLETED);
+            response.respondKeptFailure();
         } else if (mayHaveRun) {
             boolean late = isDeadlineReached(dataPlane.nowMs());
             transitionTo(State.COMPLETED);
--- a/src/main/java/myrtleladder/dataplane/ResponseAssembler.java
+++ b/src/main/java/myrtleladder/dataplane/ResponseAssembler.java
@@ -23,6 +23,8 @@
     private long weightsVersion = InstanceRecord.UNKNOWN_WEIGHTS_VERSION;
     private ServerSentEventSplitter splitter;
     private ByteArrayOutputStream buffer;
+    private ResponseHead keptFailureHead;
+    private byte[] keptFailureBody;
     private long lastEventId;
     private boolean hasForwardedEvent;
 
@@ -48,11 +50,6 @@
                         .number(HeaderNames.VERSIONS, InstanceRecord.UNKNOWN_WEIGHTS_VERSION);
     }
 
-    /** Whether a head was accepted, of this attempt or an earlier one. */
-    boolean hasHead() {
-        return head != null;
-    }
-
     int status() {
         return head.status();
     }
@@ -130,6 +127,24 @@
         return buffer == null ? NO_BYTES : buffer.toByteArray();
     }
 
+    /** Keeps a complete failure of an upstream while others are tried; the latest is kept. */
+    void keepFailure() {
+        keptFailureHead = head;
+        keptFailureBody = bufferedBody();
+    }
+
+    boolean hasKeptFailure() {
+        return keptFailureHead != null;
+    }
+
+    /** Sends the failure that was kept, unchanged. */
+    void respondKeptFailure() {
+        client.respond(
+                keptFailureHead.status(),
+                HeaderForwarding.toClient(keptFailureHead.headers()),
+                keptFailureBody);
+    }
+
     /** Sends the accepted head with a complete body. */
     void respond(byte[] body) {
         client.respond(head.status(), HeaderForwarding.toClient(head.headers()), body);
--- a/src/main/java/myrtleladder/dataplane/RetryPolicy.java
+++ b/src/main/java/myrtleladder/dataplane/RetryPolicy.java
@@ -17,21 +17,21 @@
     /**
      * Decides after a rejection: the request did not run, so any route may retry.
      *
-     * @param responses how many upstreams answered so far
+     * @param sentAttempts to how many upstreams it was sent so far
      */
-    boolean shouldRetryRejection(Route route, Service service, int responses) {
-        return responses < route.retries() && budget.tryAcquire(service.name());
+    boolean shouldRetryRejection(Route route, Service service, int sentAttempts) {
+        return sentAttempts < route.retries() && budget.tryAcquire(service.name());
     }
 
     /**
      * Decides after a failure: the request may have run, so only idempotent routes retry.
      *
-     * @param triedUpstreams to how many upstreams it was sent so far
+     * @param sentAttempts to how many upstreams it was sent so far
      */
     boolean shouldRetryFailure(
-            Route route, Service service, int triedUpstreams, boolean deadlineReached) {
+            Route route, Service service, int sentAttempts, boolean deadlineReached) {
         return route.repeatable()
-                && triedUpstreams < route.retries()
+                && sentAttempts < route.retries()
                 && !deadlineReached
                 && budget.tryAcquire(service.name());
     }
--- a/src/test/java/myrtleladder/dataplane/RoutesDocument.java
+++ b/src/test/java/myrtleladder/dataplane/RoutesDocument.java
@@ -3,8 +3,8 @@
 /** A configuration with a route of each kind, for tests; written with single quotes. */
 final class RoutesDocument {
     /**
-     * Paths: /s/ resumable stream, /n/ other stream, /u/ unsafe, /i/ idempotent, /o/ public, /w/
-     * split.
+     * Paths: /s/ resumable stream, /s3/ the same with three retries, /n/ other stream, /u/ unsafe,
+     * /i/ idempotent, /o/ public, /w/ split.
      */
     static final String TEXT =
             """
@@ -13,6 +13,9 @@
               {'name':'s','hostname':'h.example','path_prefix':'/s/','type':'streaming',
                'timeout_ms':8000,'target_latency_ms':600,'priority':1,'backend':'m','retries':2,
                'resumable':true,'gap_aim_ms':400},
+              {'name':'s3','hostname':'h.example','path_prefix':'/s3/','type':'streaming',
+               'timeout_ms':8000,'target_latency_ms':600,'priority':1,'backend':'m','retries':3,
+               'resumable':true,'gap_aim_ms':400},
               {'name':'n','hostname':'h.example','path_prefix':'/n/','type':'streaming',
                'timeout_ms':5000,'target_latency_ms':600,'backend':'m','retries':1,
                'resumable':false},
--- a/src/test/java/myrtleladder/dataplane/ScriptedClient.java
+++ b/src/test/java/myrtleladder/dataplane/ScriptedClient.java
@@ -17,6 +17,12 @@
     boolean aborted;
     int responses;
 
+    /** Responses that ended, also by an abort; a second one would be a fault. */
+    int finalResponses;
+
+    /** Calls that the exchange is documented to ignore; a request that relies on them hangs. */
+    int ignoredCalls;
+
     ScriptedClient(String path, String... fields) {
         Headers sent =
                 new Headers()
@@ -47,6 +53,11 @@
 
     @Override
     public void respond(int code, Headers answer, byte[] bytes) {
+        if (responses > 0 || aborted) {
+            ignoredCalls++;
+            return;
+        }
+        finalResponses++;
         responses++;
         status = code;
         headers = answer;
@@ -56,6 +67,10 @@
 
     @Override
     public void begin(int code, Headers answer) {
+        if (responses > 0 || aborted) {
+            ignoredCalls++;
+            return;
+        }
         responses++;
         status = code;
         headers = answer;
@@ -68,11 +83,21 @@
 
     @Override
     public void end() {
+        if (responses == 0 || ended || aborted) {
+            ignoredCalls++;
+            return;
+        }
+        finalResponses++;
         ended = true;
     }
 
     @Override
     public void abort() {
+        if (ended || aborted) {
+            ignoredCalls++;
+            return;
+        }
+        finalResponses++;
         aborted = true;
     }
 
