Check reported addresses, bound documents exactly, keep interrupts, print help once

Cause: an address without a port that an upstream or a peer reported threw on the event loop, and its request or call stayed unanswered; a decompressed document could pass its bound by 8 KiB; rehearse swallowed an interrupt; help ended twice with the exit codes; /status said one balancer where none polls.

--- a/src/main/java/myrtleladder/configuration/Compression.java
+++ b/src/main/java/myrtleladder/configuration/Compression.java
@@ -14,7 +14,7 @@
     private static final int BUFFER_BYTES = 8 * 1_024;
 
     /** Longest document that is decompressed, against damaged or forged input. Chosen. */
-    private static final int MAX_DOCUMENT_BYTES = 64 * 1_024 * 1_024;
+    static final int MAX_DOCUMENT_BYTES = 64 * 1_024 * 1_024;
 
     private Compression() {}
 
@@ -55,7 +55,7 @@
             while (!inflater.finished()) {
                 int count = inflater.inflate(buffer);
                 boolean stuck = count == 0 && !inflater.finished();
-                if (stuck || out.size() > MAX_DOCUMENT_BYTES) {
+                if (stuck || count > MAX_DOCUMENT_BYTES - out.size()) {
                     throw new ConfigurationException(
                             ResultCode.CONFIGURATION_SYNTAX, "a stored document is damaged");
                 }
--- a/src/main/java/myrtleladder/controlplane/InstanceHeartbeatParser.java
+++ b/src/main/java/myrtleladder/controlplane/InstanceHeartbeatParser.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import myrtleladder.configuration.ConfigurationException;
+import myrtleladder.http.NetworkAddress;
 import myrtleladder.protocol.InstanceRecord;
 import myrtleladder.protocol.InstanceRecord.Stage;
 import myrtleladder.result.ResultCode;
@@ -18,14 +19,15 @@
      * The record that a heartbeat describes.
      *
      * @param id the incarnation, from the path of the request
-     * @throws ConfigurationException if a field that is required is missing or no string
+     * @throws ConfigurationException if a field that is required is missing or no string, or the
+     *     address has no port
      */
     static InstanceRecord parse(String id, Map<String, Object> json) {
         String state = requiredString(json, "state");
         return InstanceRecord.of(
                         id,
                         requiredString(json, "backend"),
-                        requiredString(json, "address"),
+                        requiredAddress(json),
                         String.valueOf(json.getOrDefault("zone", "")),
                         (int) integer(json, "capacity", DEFAULT_CAPACITY),
                         String.valueOf(json.getOrDefault("generation", "")),
@@ -52,6 +54,15 @@
         throw new ConfigurationException(ResultCode.CONFIGURATION_FIELD, name + " is not a text");
     }
 
+    private static String requiredAddress(Map<String, Object> json) {
+        String address = requiredString(json, "address");
+        if (NetworkAddress.parse(address).isEmpty()) {
+            throw new ConfigurationException(
+                    ResultCode.CONFIGURATION_FIELD, "address is not an address: " + address);
+        }
+        return address;
+    }
+
     private static long integer(Map<String, Object> json, String name, long defaultValue) {
         return json.get(name) instanceof Number number ? number.longValue() : defaultValue;
     }
--- a/src/main/java/myrtleladder/controlplane/StatusRequestHandler.java
+++ b/src/main/java/myrtleladder/controlplane/StatusRequestHandler.java
@@ -38,7 +38,7 @@
                         "epoch", replica.epoch(),
                         "generation", configuration.generation(),
                         "upstreams", instances.all().size(),
-                        "balancers", balancers.count(false),
+                        "balancers", balancers.addresses().size(),
                         "view", String.valueOf(replica.view()));
         HttpResponses.json(exchange, HttpResponses.OK, Json.write(status));
     }
--- a/src/main/java/myrtleladder/dataplane/HttpConnectionPool.java
+++ b/src/main/java/myrtleladder/dataplane/HttpConnectionPool.java
@@ -58,11 +58,7 @@
         }
         PooledHttpConnection created = new PooledHttpConnection(upstream, listener);
         open.merge(upstream, 1, Integer::sum);
-        String address = upstream.record().address;
-        int colon = address.lastIndexOf(':');
-        String host = address.substring(0, colon);
-        int port = Integer.parseInt(address.substring(colon + 1));
-        created.connection = HttpConnection.connect(loop, host, port, created);
+        created.connection = HttpConnection.connect(loop, upstream.record().address, created);
         return created;
     }
 
--- a/src/main/java/myrtleladder/http/HttpConnection.java
+++ b/src/main/java/myrtleladder/http/HttpConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import myrtleladder.eventloop.EventLoop;
 import myrtleladder.eventloop.NetworkException;
 import myrtleladder.result.ResultCode;
@@ -91,6 +92,20 @@
         this.listener = listener;
     }
 
+    /**
+     * Connects to an address that another process reported; one that can't be parsed fails as one
+     * at which nobody listens.
+     */
+    public static HttpConnection connect(EventLoop loop, String address, Listener listener) {
+        Optional<NetworkAddress> parsed = NetworkAddress.parse(address);
+        if (parsed.isPresent()) {
+            return connect(loop, parsed.get().host(), parsed.get().port(), listener);
+        }
+        HttpConnection failed = new HttpConnection(listener);
+        loop.execute(failed::failedToOpen);
+        return failed;
+    }
+
     /** Connects; the listener is called with the result, never within this call. */
     @SuppressWarnings("rawtypes") // the library's connector names no type
     public static HttpConnection connect(EventLoop loop, String host, int port, Listener listener) {
--- a/src/main/java/myrtleladder/process/ProgramCommand.java
+++ b/src/main/java/myrtleladder/process/ProgramCommand.java
@@ -141,13 +141,12 @@
         return program.name() + " " + String.join(" | ", alternatives);
     }
 
-    /** Ends with the exit codes, which the help therefore has twice; its text is kept as it was. */
     private String descriptions() {
         StringBuilder text = new StringBuilder("\n");
         for (Subcommand subcommand : subcommands) {
             text.append(String.format("%-14s%s%n", subcommand.syntax(), subcommand.description()));
         }
-        return text + EXIT_CODES;
+        return text.toString();
     }
 
     private int runSubcommand(List<String> words) {
@@ -183,7 +182,11 @@
     private int warmUp() {
         try {
             return program.warmUp() ? SUCCESS_EXIT_CODE : FAILURE_EXIT_CODE;
-        } catch (IOException | InterruptedException e) {
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            System.err.println("interrupted");
+            return FAILURE_EXIT_CODE;
+        } catch (IOException e) {
             System.err.println(e);
             return FAILURE_EXIT_CODE;
         }
--- a/src/main/java/myrtleladder/rpc/PeerClient.java
+++ b/src/main/java/myrtleladder/rpc/PeerClient.java
@@ -81,13 +81,7 @@
         }
 
         void connect() {
-            int colon = address.lastIndexOf(':');
-            connection =
-                    HttpConnection.connect(
-                            loop,
-                            address.substring(0, colon),
-                            Integer.parseInt(address.substring(colon + 1)),
-                            this);
+            connection = HttpConnection.connect(loop, address, this);
         }
 
         void send() {
--- /dev/null
+++ b/src/test/java/myrtleladder/configuration/CompressionTest.java
@@ -0,0 +1,33 @@
+package myrtleladder.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+
+/** Documents are the same after compression, and damaged or too long ones are refused. */
+class CompressionTest {
+    @Test
+    void documentIsTheSameAfterItsCompression() {
+        byte[] document = "{'generation':7}".repeat(5_000).getBytes(StandardCharsets.UTF_8);
+        assertArrayEquals(document, Compression.inflate(Compression.deflate(document)));
+    }
+
+    @Test
+    void longestDocumentIsReadAndOneByteMoreIsNot() {
+        byte[] longest = new byte[Compression.MAX_DOCUMENT_BYTES];
+        assertEquals(longest.length, Compression.inflate(Compression.deflate(longest)).length);
+        byte[] tooLong = Compression.deflate(new byte[Compression.MAX_DOCUMENT_BYTES + 1]);
+        assertThrows(ConfigurationException.class, () -> Compression.inflate(tooLong));
+    }
+
+    @Test
+    void documentThatWasCutOffIsRefused() {
+        byte[] whole = Compression.deflate("a document".getBytes(StandardCharsets.UTF_8));
+        byte[] part = Arrays.copyOf(whole, whole.length - 5);
+        assertThrows(ConfigurationException.class, () -> Compression.inflate(part));
+    }
+}
--- a/src/test/java/myrtleladder/controlplane/InstanceRequestTest.java
+++ b/src/test/java/myrtleladder/controlplane/InstanceRequestTest.java
@@ -8,6 +8,8 @@
 import myrtleladder.protocol.InstanceRecord.Stage;
 import myrtleladder.protocol.ShareInstancesRequest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Heartbeats and departures of upstreams at a primary, and the upgrades that they make up. */
 class InstanceRequestTest {
@@ -22,6 +24,14 @@
                                 && shared.instances.get(0).stage == stage);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"10.0.0.1", "10.0.0.1:", ":80", "10.0.0.1:http", "10.0.0.1:70000"})
+    void heartbeatWithAnAddressThatCannotBeCalledIsRefused(String address) {
+        String body = "{'backend':'s','address':'" + address + "','state':'ready','sequence':1}";
+        assertEquals(400, node.send(RecordedExchange.of("PUT", "/instances/i", body), 20).status);
+        assertEquals(0, node.plane.instances().size());
+    }
+
     @Test
     void drainingIsAcknowledgedOnceAnotherNodeHasItAndDepartureNotWithoutOne() {
         assertEquals(200, node.heartbeat("i", "ready", 1).status);
--- a/src/test/java/myrtleladder/process/ProgramCommandTest.java
+++ b/src/test/java/myrtleladder/process/ProgramCommandTest.java
@@ -1,7 +1,11 @@
 package myrtleladder.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import myrtleladder.result.ResultCode;
 import org.junit.jupiter.api.Test;
@@ -21,6 +25,44 @@
         };
     }
 
+    /** A program whose warm-up is interrupted. */
+    private static final class InterruptedProgram implements ProgramCommand.Program {
+        @Override
+        public String name() {
+            return "program";
+        }
+
+        @Override
+        public void serve(NodeSettings settings) {
+            // not called here
+        }
+
+        @Override
+        public boolean warmUp() throws InterruptedException {
+            throw new InterruptedException("stopped");
+        }
+    }
+
+    @Test
+    void warmUpThatIsInterruptedFailsAndKeepsTheInterrupt() {
+        assertEquals(1, new ProgramCommand(new InterruptedProgram()).run("rehearse"));
+        assertTrue(Thread.interrupted());
+    }
+
+    @Test
+    void helpHasEachLineOnce() {
+        PrintStream out = System.out;
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(printed, true, StandardCharsets.UTF_8));
+        try {
+            new ProgramCommand(new InterruptedProgram()).run("--help");
+        } finally {
+            System.setOut(out);
+        }
+        String help = printed.toString(StandardCharsets.UTF_8);
+        assertEquals(2, help.split("Exit codes", -1).length, help);
+    }
+
     @Test
     void eachOutcomeHasItsExitCode() {
         assertEquals(0, run("done"));
