--- a/src/main/java/myrtleladder/cluster/MembershipRuntime.java
+++ b/src/main/java/myrtleladder/cluster/MembershipRuntime.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import myrtleladder.gossip.MemberEvent;
 import myrtleladder.gossip.MemberUpdate;
@@ -88,8 +89,13 @@
         return runtime;
     }
 
-    private void leave() {
-        loop.submit(() -> membership.leave(nowUs())).awaitUninterruptibly();
+    /** Tells the fleet; called by the hook at the end of the process. */
+    void leave() {
+        try {
+            loop.submit(() -> membership.leave(nowUs())).awaitUninterruptibly();
+        } catch (RejectedExecutionException e) {
+            LOG.log(System.Logger.Level.DEBUG, "the loop has ended before: the fleet is not told");
+        }
     }
 
     /** What this process knows of its fleet, read on the event loop. */
--- a/src/main/java/myrtleladder/loadbalancer/admin/JsonLogFormatter.java
+++ b/src/main/java/myrtleladder/loadbalancer/admin/JsonLogFormatter.java
@@ -24,7 +24,8 @@
             """
             {"time": {"$resolver": "timestamp", "pattern":
                 {"format": "yyyy-MM-dd'T'HH:mm:ss.SSSSSS'Z'", "timeZone": "UTC"}},
-             "level": {"$resolver": "level", "field": "name"},
+             "level": {"$resolver": "pattern", "stackTraceEnabled": false,
+                "pattern": "%level{ERROR=error, WARN=warning, INFO=info, DEBUG=debug}"},
              "subsystem": {"$resolver": "logger", "field": "name"},
              "event": {"$resolver": "message", "stringified": true},
              "fields": {"$resolver": "mdc", "flatten": true},
@@ -34,12 +35,6 @@
     /** Characters after which a text is cut; chosen, long enough for a stack trace. */
     private static final int MAX_STRING_LENGTH = 16_384;
 
-    // Log4j's levels under the names that our lines have.
-    private static final Level ERROR = Level.forName("error", Level.ERROR.intLevel() + 1);
-    private static final Level WARNING = Level.forName("warning", Level.WARN.intLevel() + 1);
-    private static final Level INFO = Level.forName("info", Level.INFO.intLevel() + 1);
-    private static final Level DEBUG = Level.forName("debug", Level.DEBUG.intLevel() + 1);
-
     private final JsonTemplateLayout layout;
 
     /**
@@ -100,14 +95,14 @@
     private static Level level(java.util.logging.Level level) {
         int severity = level.intValue();
         if (severity >= java.util.logging.Level.SEVERE.intValue()) {
-            return ERROR;
+            return Level.ERROR;
         }
         if (severity >= java.util.logging.Level.WARNING.intValue()) {
-            return WARNING;
+            return Level.WARN;
         }
         if (severity >= java.util.logging.Level.INFO.intValue()) {
-            return INFO;
+            return Level.INFO;
         }
-        return DEBUG;
+        return Level.DEBUG;
     }
 }
--- a/src/main/java/myrtleladder/loadbalancer/server/BalancerConfig.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/BalancerConfig.java
@@ -93,11 +93,14 @@
                 case "listen" -> listen = parseAddress(json.getText());
                 case "discovery" -> discovery = parseAddress(json.getText());
                 case "seed" -> seed = parseSeed(json.getText());
-                case "limits" -> limits = readLimits(json, limits);
+                case "limits" -> limits = isObject ? readLimits(json, limits) : limits;
                 case "known" -> known = isObject ? EndpointList.read(json) : known;
                 case "settings" -> settings = isObject ? SettingsReader.read(json) : null;
                 default -> json.skipChildren();
             }
+            if (!isObject) {
+                json.skipChildren(); // of an array; a scalar has none
+            }
         }
         EndpointList.require(listen != null, "listen");
         EndpointList.require(discovery != null, "discovery");
--- a/src/main/java/myrtleladder/loadbalancer/server/BalancerRuntime.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/BalancerRuntime.java
@@ -34,7 +34,7 @@
     private final RequestDispatcher requests;
     private final ProbeSender probes;
     private final MonotonicClock clock = new MonotonicClock();
-    private final EventLoopLag lag = new EventLoopLag(clock);
+    private final EventLoopLag lag;
     private final EventSerializer events = new EventSerializer();
     private final EndpointDirectory endpoints = new EndpointDirectory();
     private final RequestCounters counters = new RequestCounters();
@@ -44,6 +44,10 @@
 
     BalancerRuntime(EventLoop loop, BalancerConfig config, UpstreamConnectionPool connections) {
         this.loop = loop;
+        // A timer that is set now is looked at in the next turn of the loop, after its reads.
+        this.lag =
+                new EventLoopLag(
+                        clock::nowUs, task -> loop.schedule(task, 0, TimeUnit.MICROSECONDS));
         this.settings = config.settings();
         this.connections = connections;
         Settings moduleSettings = settings.balancer();
--- a/src/main/java/myrtleladder/testbed/fault/LinkFaults.java
+++ b/src/main/java/myrtleladder/testbed/fault/LinkFaults.java
@@ -42,11 +42,13 @@
     /** Restores the default of one direction. */
     public void heal(String from, String to) {
         faults.remove(new Direction(from, to));
+        busyUntilUs.remove(new Direction(from, to));
     }
 
     /** Restores the default of all directions. */
     public void healAll() {
         faults.clear();
+        busyUntilUs.clear();
     }
 
     /** Whether this direction is partitioned now: no message arrives. */
