Let members listen at one address and be called at another

Need: no proxy fitted between real control processes, since a member listened at the address at which it is called; and no test had machines whose share of a core is a quota. Change: the section internal of the settings file says where the internal protocol listens and at which addresses others are called; both are checked. CoreQuotaTest lets five nodes stand still for 90 ms of each 100.

--- a/src/main/java/myrtleladder/controlplane/ControlNode.java
+++ b/src/main/java/myrtleladder/controlplane/ControlNode.java
@@ -33,7 +33,7 @@
         AsyncStateWriter writer = new AsyncStateWriter(loop, store);
         writer.start();
         loop.start();
-        PeerClient peers = new PeerClient(loop);
+        PeerClient peers = new PeerClient(loop, settings.internal()::callAddress);
         ControlPlane plane = controlPlane(settings, loop, peers);
         Replica replica =
                 new Replica(
@@ -80,7 +80,8 @@
     private static void serve(
             NodeSettings settings, EventLoop loop, ControlPlane plane, Replica replica) {
         plane.attach(replica);
-        new MessageServer(loop, settings.ip(), settings.firstPort(), plane::receive);
+        Address internal = settings.internal().listen();
+        new MessageServer(loop, internal.host(), internal.port(), plane::receive);
         Address control = settings.control();
         new HttpServer(loop, control.host(), control.port(), plane::handle);
         replica.start();
--- a/src/main/java/myrtleladder/controlplane/Warmup.java
+++ b/src/main/java/myrtleladder/controlplane/Warmup.java
@@ -14,6 +14,7 @@
 import myrtleladder.http.Headers;
 import myrtleladder.http.RequestHead;
 import myrtleladder.process.Address;
+import myrtleladder.process.InternalNetwork;
 import myrtleladder.process.NodeSettings;
 import myrtleladder.protocol.CachedPrompt;
 import myrtleladder.protocol.LoadReport;
@@ -124,7 +125,8 @@
                 0,
                 new NodeSettings.Limits(256, 1_024),
                 new NodeSettings.Bounds(
-                        2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 100, 4_000));
+                        2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 100, 4_000),
+                InternalNetwork.direct(new Address(HOST, internalPort)));
     }
 
     private void sendFirstRequests() {
--- a/src/main/java/myrtleladder/dataplane/Main.java
+++ b/src/main/java/myrtleladder/dataplane/Main.java
@@ -49,7 +49,6 @@
 
     private final NodeSettings settings;
     private final EventLoop loop;
-    private final int internalPort;
     private final CountDownLatch terminated = new CountDownLatch(1);
     private DataPlane dataPlane;
     private ControlPoller poller;
@@ -58,9 +57,8 @@
     private boolean isDraining;
     private long idleSinceMs;
 
-    private Main(NodeSettings settings, int internalPort, EventLoop loop) {
+    private Main(NodeSettings settings, EventLoop loop) {
         this.settings = settings;
-        this.internalPort = internalPort;
         this.loop = loop;
     }
 
@@ -72,7 +70,7 @@
     /** Serves until SIGTERM and the end of requests in flight; does not return normally. */
     static void serve(NodeSettings settings)
             throws InterruptedException, ReflectiveOperationException {
-        Main main = new Main(settings, settings.firstPort(), new EventLoop());
+        Main main = new Main(settings, new EventLoop());
         main.loop.start();
         main.loop.execute(main::start);
         Signals.on("TERM", () -> main.loop.execute(main::drain));
@@ -82,8 +80,8 @@
     }
 
     /** Starts to serve on a running loop; called on the loop. */
-    static void startOn(NodeSettings settings, int internalPort, EventLoop loop) {
-        new Main(settings, internalPort, loop).start();
+    static void startOn(NodeSettings settings, EventLoop loop) {
+        new Main(settings, loop).start();
     }
 
     private void start() {
@@ -96,7 +94,7 @@
                         (request, timeoutMs, callback) ->
                                 poller.requestQuota(request, timeoutMs, callback),
                         System.nanoTime());
-        PeerClient peers = new PeerClient(loop);
+        PeerClient peers = new PeerClient(loop, settings.internal()::callAddress);
         HeartbeatAgent agent = new HeartbeatAgent(loop, peers, settings.nodeName());
         poller =
                 new ControlPoller(
@@ -104,7 +102,7 @@
                         peers,
                         dataPlane,
                         settings.nodeName(),
-                        settings.ip() + ":" + internalPort,
+                        settings.ip() + ":" + settings.firstPort(),
                         agent,
                         this::readSeeds);
         startServers(agent);
@@ -117,8 +115,8 @@
     private void startServers(HeartbeatAgent agent) {
         new MessageServer(
                 loop,
-                settings.ip(),
-                internalPort,
+                settings.internal().listen().host(),
+                settings.internal().listen().port(),
                 (message, callback) -> messageReceived(agent, message, callback));
         agent.start();
         Address readiness = settings.readiness();
--- a/src/main/java/myrtleladder/dataplane/Warmup.java
+++ b/src/main/java/myrtleladder/dataplane/Warmup.java
@@ -17,6 +17,7 @@
 import myrtleladder.http.RequestHead;
 import myrtleladder.http.ServerExchange;
 import myrtleladder.process.Address;
+import myrtleladder.process.InternalNetwork;
 import myrtleladder.process.NodeSettings;
 import myrtleladder.protocol.BalancerAddress;
 import myrtleladder.protocol.CachedPrompt;
@@ -95,7 +96,7 @@
     private void start() {
         new MessageServer(loop, HOST, controlPort, this::answerControlMessage);
         new HttpServer(loop, HOST, upstreamPort, this::answerAsUpstream);
-        Main.startOn(settings(), freePort(), loop);
+        Main.startOn(settings(), loop);
         for (int round = 1; round <= ROUNDS; round++) {
             loop.schedule(SETTLE_MS + round * ROUND_INTERVAL_MS, this::sendRound);
         }
@@ -122,7 +123,8 @@
                 1,
                 new NodeSettings.Limits(256, 1_024),
                 new NodeSettings.Bounds(
-                        2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 190_000, 4_000));
+                        2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 190_000, 4_000),
+                InternalNetwork.direct(new Address(HOST, freePort())));
     }
 
     private void answerControlMessage(Message message, Consumer<Message> callback) {
--- a/src/main/java/myrtleladder/process/NodeSettings.java
+++ b/src/main/java/myrtleladder/process/NodeSettings.java
@@ -33,6 +33,7 @@
  * @param toleratedMachines {@code fault_tolerance.machines}; default 0
  * @param limits {@code limits} of the machine
  * @param bounds {@code bounds} of the rules
+ * @param internal {@code internal}: where the internal protocol listens and calls
  */
 public record NodeSettings(
         String nodeName,
@@ -51,7 +52,8 @@
         Address control,
         int toleratedMachines,
         Limits limits,
-        Bounds bounds) {
+        Bounds bounds,
+        InternalNetwork internal) {
     /** The environment variable that names the settings file. */
     public static final String VARIABLE = "MYRTLELADDER_CONFIG";
 
@@ -149,7 +151,9 @@
                 address(listen, "control"),
                 root.path("fault_tolerance").path("machines").asInt(0),
                 limits(root.path("limits")),
-                bounds(root.path("bounds")));
+                bounds(root.path("bounds")),
+                InternalNetwork.read(
+                        root.path("internal"), new Address(text(root, "ip"), firstPort(root))));
     }
 
     private static Map<String, String> regions(JsonNode zones) {
--- a/src/main/java/myrtleladder/rpc/PeerClient.java
+++ b/src/main/java/myrtleladder/rpc/PeerClient.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import myrtleladder.eventloop.EventLoop;
 import myrtleladder.http.Headers;
 import myrtleladder.http.HttpConnection;
@@ -34,11 +35,22 @@
     private static final byte[] NO_BYTES = {};
 
     private final EventLoop loop;
+    private final UnaryOperator<String> callAddress;
     private final Map<String, ArrayDeque<Call>> idleByAddress = new HashMap<>();
 
-    /** Creates a client on a loop. */
+    /** Creates a client on a loop that calls each address as it is. */
     public PeerClient(EventLoop loop) {
+        this(loop, UnaryOperator.identity());
+    }
+
+    /**
+     * Creates a client on a loop.
+     *
+     * @param callAddress maps the address of a process to the one at which it is called
+     */
+    public PeerClient(EventLoop loop, UnaryOperator<String> callAddress) {
         this.loop = loop;
+        this.callAddress = callAddress;
     }
 
     @Override
@@ -81,7 +93,7 @@
         }
 
         void connect() {
-            connection = HttpConnection.connect(loop, address, this);
+            connection = HttpConnection.connect(loop, callAddress.apply(address), this);
         }
 
         void send() {
--- a/src/test/java/myrtleladder/process/NodeSettingsTest.java
+++ b/src/test/java/myrtleladder/process/NodeSettingsTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The settings file, and what is told when it can't be used. */
 class NodeSettingsTest {
@@ -55,6 +56,44 @@
         assertEquals(190_000, settings.bounds().quotaSlack());
     }
 
+    @Test
+    void processListensAtItsOwnAddressAndCallsOthersAtTheirsByDefault() {
+        InternalNetwork internal = NodeSettings.parse(COMPLETE).internal();
+        assertEquals(new Address("10.1.0.6", 7500), internal.listen());
+        assertEquals("10.2.0.20:7500", internal.callAddress("10.2.0.20:7500"));
+    }
+
+    @Test
+    void listenAndCallAddressesMayDifferFromTheOwnOnes() {
+        String section =
+                """
+                [internal]
+                listen = "127.0.0.1:9000"
+                [internal.call]
+                "10.2.0.20:7500" = "127.0.0.1:9002"
+                """;
+        InternalNetwork internal = NodeSettings.parse(COMPLETE + section).internal();
+        assertEquals(new Address("127.0.0.1", 9000), internal.listen());
+        assertEquals("127.0.0.1:9002", internal.callAddress("10.2.0.20:7500"));
+        assertEquals("10.3.0.20:7500", internal.callAddress("10.3.0.20:7500"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "listen = \"nowhere\"",
+                "listen = 7",
+                "call = {\"10.2.0.20\" = \"127.0.0.1:9002\"}",
+                "call = {\"10.2.0.20:7500\" = \"127.0.0.1:0\"}",
+            })
+    void internalAddressThatCannotBeParsedIsRefusedByItsName(String line) {
+        SettingsException e =
+                assertThrows(
+                        SettingsException.class,
+                        () -> NodeSettings.parse(COMPLETE + "[internal]\n" + line));
+        assertTrue(e.getMessage().contains("internal."), e.getMessage());
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
--- /dev/null
+++ b/src/test/java/myrtleladder/replication/CoreQuotaTest.java
@@ -0,0 +1,48 @@
+package myrtleladder.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Machines whose share of a core is a quota: the processes run for a while and then stand still for
+ * the rest of each tenth of a second. That alone makes nobody suspect anybody.
+ */
+class CoreQuotaTest {
+    private static final long PERIOD_MS = 100;
+    private static final long STARTUP_MS = 3_000;
+    private static final int PERIODS = 300;
+
+    /** The processes stand still at the same time, or one after the other. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 30, 50})
+    void processesThatStandStillForNineTenthsOfEachPeriodKeepTheirPrimary(long phaseMs) {
+        VirtualCluster cluster = VirtualCluster.builder().nodes(5).toleratedFailures(2).start();
+        cluster.clock.run(STARTUP_MS);
+        VirtualNode primary = cluster.primary();
+        assertNotNull(primary);
+        long epoch = primary.replica.epoch();
+        for (VirtualNode node : cluster.nodes.values()) {
+            standStillInEachPeriod(cluster, node);
+            cluster.clock.run(phaseMs);
+        }
+        for (int i = 0; i < PERIODS; i++) {
+            cluster.clock.run(PERIOD_MS);
+            if (i % 10 == 0) {
+                cluster.submitChange();
+            }
+        }
+        assertEquals(epoch, primary.replica.epoch(), "no other primary was needed");
+        assertTrue(
+                cluster.acknowledged.size() > PERIODS / 15,
+                cluster.acknowledged.size() + " changes were acknowledged");
+    }
+
+    private void standStillInEachPeriod(VirtualCluster cluster, VirtualNode node) {
+        node.pause(PERIOD_MS * 9 / 10);
+        cluster.clock.schedule(PERIOD_MS, () -> standStillInEachPeriod(cluster, node));
+    }
+}
