Cut and slow the links between real control processes under traffic

Need: no test had a cut between real processes; the section internal of the settings now lets a proxy of the test bed stand between each pair of nodes.

--- a/src/test/java/myrtleladder/controlplane/ControlProcesses.java
+++ b/src/test/java/myrtleladder/controlplane/ControlProcesses.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -23,6 +24,7 @@
 import myrtleladder.protocol.MessageCodec;
 import myrtleladder.protocol.PollRequest;
 import myrtleladder.protocol.PollResponse;
+import myrtleladder.testbed.proxy.FaultProxy;
 
 /** Real processes of the control plane on loopback addresses, each with a folder as its disk. */
 final class ControlProcesses implements AutoCloseable {
@@ -46,8 +48,35 @@
     private final Path folder;
     private final Map<String, Process> processes = new LinkedHashMap<>();
 
+    /** Null if the nodes call each other directly. */
+    private final FaultProxy proxy;
+
+    private final List<String> proxied;
+
     ControlProcesses(Path folder) {
+        this(folder, null, List.of());
+    }
+
+    /** Nodes of which those that are named call each other through a proxy. */
+    ControlProcesses(Path folder, FaultProxy proxy, List<String> proxied) {
         this.folder = folder;
+        this.proxy = proxy;
+        this.proxied = proxied;
+    }
+
+    /** The addresses at which a node calls the others, as its settings file has them. */
+    private String callAddresses(String name) {
+        StringBuilder section = new StringBuilder();
+        for (String other : proxied) {
+            if (!other.equals(name)) {
+                InetSocketAddress target = new InetSocketAddress(ip(other), INTERNAL_PORT);
+                InetSocketAddress called = proxy.stream(name, other, target);
+                section.append(
+                        "\"%s:%d\" = \"127.0.0.1:%d\"\n"
+                                .formatted(ip(other), INTERNAL_PORT, called.getPort()));
+            }
+        }
+        return section.toString();
     }
 
     /** An address that only this test of this process uses. */
@@ -79,7 +108,9 @@
                         + "machines = 1\n"
                         + "[bounds]\n"
                         + "catch_up_s = 4\n"
-                        + "grace_s = 8\n";
+                        + "grace_s = 8\n"
+                        + "[internal.call]\n"
+                        + callAddresses(name);
         Path settings = folder.resolve(name + ".toml");
         Files.writeString(settings, text);
         ProcessBuilder builder =
@@ -241,6 +272,14 @@
         return "";
     }
 
+    /** The names of the nodes that hold the state, as the leader's status tells it. */
+    List<String> replicas() throws InterruptedException {
+        HttpResponse<String> status = call(leader(), "GET", "/status", "", "");
+        String view = status.body();
+        String replicas = view.substring(view.indexOf("replicas ["), view.indexOf("group ["));
+        return names().stream().filter(name -> replicas.contains(ip(name) + ":")).toList();
+    }
+
     /** Waits until a node follows as a member of the leader's view. */
     void awaitMember(String name) throws InterruptedException {
         long endNs = System.nanoTime() + TIMEOUT.toNanos();
