Begin new requests on the newest weights of a model

Change: WeightsRollout follows the newest version among the ready upstreams of a service. Older ones cost 200 ms more, so the first upgraded upstream is not overloaded; once bounds.version_ms has passed they are left out as long as another can take the request. Streams that go on keep their weights.

--- a/src/main/java/myrtleladder/dataplane/DataPlane.java
+++ b/src/main/java/myrtleladder/dataplane/DataPlane.java
@@ -44,6 +44,7 @@
             ConnectionPool connections,
             RetryBudget retryBudget,
             TenantQuotaClient.QuotaAllocator allocator,
+            WeightsRollout weightsRollout,
             long seed) {
         this.scheduler = scheduler;
         this.connections = connections;
@@ -51,7 +52,8 @@
         this.quotas = new TenantQuotaClient(allocator, seed);
         this.directory = new UpstreamDirectory(upstream -> connections.closeExpired());
         this.fleetLoads = new FleetLoadSync(directory, seed);
-        this.picker = new UpstreamPicker(directory, connections, fleetLoads, prefillTime);
+        this.picker =
+                new UpstreamPicker(directory, connections, fleetLoads, prefillTime, weightsRollout);
         this.retryPolicy = new RetryPolicy(retryBudget);
         this.unresponsiveDetector = new UnresponsiveUpstreamDetector(prefillTime);
         this.random = new SplittableRandom(seed);
--- a/src/main/java/myrtleladder/dataplane/Main.java
+++ b/src/main/java/myrtleladder/dataplane/Main.java
@@ -93,6 +93,7 @@
                         new RetryBudget(bounds.budgetRatio(), bounds.budgetSlack()),
                         (request, timeoutMs, callback) ->
                                 poller.requestQuota(request, timeoutMs, callback),
+                        new WeightsRollout(bounds.versionMs()),
                         System.nanoTime());
         PeerClient peers = new PeerClient(loop, settings.internal()::callAddress);
         HeartbeatAgent agent = new HeartbeatAgent(loop, peers, settings.nodeName());
--- a/src/main/java/myrtleladder/dataplane/PrefixCacheAwarePolicy.java
+++ b/src/main/java/myrtleladder/dataplane/PrefixCacheAwarePolicy.java
@@ -52,8 +52,13 @@
 
     private final FleetLoadSync fleetLoads;
     private final PrefillTimeEstimator prefillTime;
+    private final WeightsRollout weightsRollout;
 
-    PrefixCacheAwarePolicy(FleetLoadSync fleetLoads, PrefillTimeEstimator prefillTime) {
+    PrefixCacheAwarePolicy(
+            FleetLoadSync fleetLoads,
+            PrefillTimeEstimator prefillTime,
+            WeightsRollout weightsRollout) {
+        this.weightsRollout = weightsRollout;
         this.fleetLoads = fleetLoads;
         this.prefillTime = prefillTime;
     }
@@ -168,7 +173,10 @@
                 (int) Math.round(uncachedTokens),
                 expectedMs,
                 explainedMs,
-                expectedMs + REREAD_COST_FACTOR * rereadMs + detourMs,
+                expectedMs
+                        + REREAD_COST_FACTOR * rereadMs
+                        + detourMs
+                        + weightsRollout.costMs(upstream),
                 backlogTokens == 0);
     }
 
--- a/src/main/java/myrtleladder/dataplane/UpstreamPicker.java
+++ b/src/main/java/myrtleladder/dataplane/UpstreamPicker.java
@@ -36,6 +36,7 @@
     private final UpstreamDirectory directory;
     private final ConnectionPool connections;
     private final PrefillTimeEstimator prefillTime;
+    private final WeightsRollout weightsRollout;
     private final PrefixCacheAwarePolicy modelPolicy;
     private final Map<String, EarliestDeadlineFirstScheduler> schedules = new HashMap<>();
     private int balancers = 1;
@@ -44,11 +45,13 @@
             UpstreamDirectory directory,
             ConnectionPool connections,
             FleetLoadSync fleetLoads,
-            PrefillTimeEstimator prefillTime) {
+            PrefillTimeEstimator prefillTime,
+            WeightsRollout weightsRollout) {
         this.directory = directory;
         this.connections = connections;
         this.prefillTime = prefillTime;
-        this.modelPolicy = new PrefixCacheAwarePolicy(fleetLoads, prefillTime);
+        this.weightsRollout = weightsRollout;
+        this.modelPolicy = new PrefixCacheAwarePolicy(fleetLoads, prefillTime, weightsRollout);
     }
 
     /** Sets the number of balancers that share the upstreams' connection limits. */
@@ -80,8 +83,12 @@
             Set<Upstream> tried,
             long weightsVersion,
             long nowMs) {
+        weightsRollout.observe(service.name(), directory.available(service.name()), nowMs);
+        List<Upstream> all = candidates(service, tried, nowMs);
         List<Upstream> candidates =
-                withWeightsVersion(candidates(service, tried, nowMs), weightsVersion);
+                weightsVersion == InstanceRecord.UNKNOWN_WEIGHTS_VERSION
+                        ? weightsRollout.withoutExpired(service.name(), all, nowMs)
+                        : withWeightsVersion(all, weightsVersion);
         if (candidates.isEmpty()) {
             return null;
         }
@@ -136,9 +143,6 @@
 
     private static List<Upstream> withWeightsVersion(
             List<Upstream> candidates, long weightsVersion) {
-        if (weightsVersion == InstanceRecord.UNKNOWN_WEIGHTS_VERSION) {
-            return candidates;
-        }
         List<Upstream> same = new ArrayList<>();
         for (Upstream upstream : candidates) {
             if (upstream.record().weightsVersion == weightsVersion) {
--- a/src/main/java/myrtleladder/process/NodeSettings.java
+++ b/src/main/java/myrtleladder/process/NodeSettings.java
@@ -78,6 +78,8 @@
      * @param quotaOverage {@code quota_overage}, as a fraction; default 0
      * @param quotaSlack {@code quota_slack}; default 0
      * @param catchUpMs {@code catch_up_s}; default 4 s
+     * @param versionMs {@code version_ms}, after which requests may not begin on older weights;
+     *     default 0 for no such bound
      */
     public record Bounds(
             long drainMs,
@@ -89,7 +91,8 @@
             long contactMs,
             double quotaOverage,
             double quotaSlack,
-            long catchUpMs) {}
+            long catchUpMs,
+            long versionMs) {}
 
     /**
      * Reads and checks the file that the environment names, as it is now.
@@ -177,7 +180,8 @@
                 node.path("contact_ms").asLong(3_000),
                 node.path("quota_overage").asDouble(0),
                 node.path("quota_slack").asDouble(0),
-                Math.round(node.path("catch_up_s").asDouble(4) * 1_000));
+                Math.round(node.path("catch_up_s").asDouble(4) * 1_000),
+                node.path("version_ms").asLong(0));
     }
 
     private static String text(JsonNode node, String name) {
--- a/src/test/java/myrtleladder/dataplane/DataPlaneContext.java
+++ b/src/test/java/myrtleladder/dataplane/DataPlaneContext.java
@@ -27,6 +27,7 @@
                         connections,
                         new RetryBudget(0.2, 100),
                         (request, timeoutMs, callback) -> callback.accept(quotaResponse),
+                        new WeightsRollout(builder.versionBoundMs),
                         builder.seed);
         if (builder.configuration != null) {
             dataPlane.applyConfiguration(builder.configuration);
@@ -81,6 +82,7 @@
         private ManualScheduler clock = new ManualScheduler();
         private Configuration configuration;
         private long seed = 1;
+        private long versionBoundMs;
 
         /** Shares a clock with other contexts. */
         Builder withClock(ManualScheduler shared) {
@@ -93,6 +95,12 @@
             return this;
         }
 
+        /** Sets the bound after which requests may not begin on older weights. */
+        Builder withVersionBoundMs(long value) {
+            versionBoundMs = value;
+            return this;
+        }
+
         Builder withConfiguration(String document) {
             configuration = configuration(document);
             return this;
--- a/src/test/java/myrtleladder/dataplane/UpstreamPickerTest.java
+++ b/src/test/java/myrtleladder/dataplane/UpstreamPickerTest.java
@@ -35,7 +35,8 @@
                         directory,
                         new ScriptedConnectionPool(),
                         fleetLoads,
-                        new PrefillTimeEstimator());
+                        new PrefillTimeEstimator(),
+                        new WeightsRollout(0));
 
         Balancer() {
             directory.applyConfiguration(CONFIGURATION);
