--- a/src/test/java/myrtleladder/controlplane/model/FaultPointTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/FaultPointTest.java
@@ -60,14 +60,9 @@
     @Test
     @Tag("long")
     void faultsAtTwoPointsLoseNothingThatWasAcknowledged() {
-        List<String> found =
-                IntStream.range(0, PAIR_COUNT)
-                        .parallel()
-                        .mapToObj(FaultPointTest::twoFaults)
-                        .filter(violation -> !violation.isEmpty())
-                        .limit(MAX_SHOWN)
-                        .toList();
-        assertEquals(List.of(), found);
+        String test = "FaultPointTest#faultsAtTwoPointsLoseNothingThatWasAcknowledged";
+        assertEquals(
+                List.of(), new Sweep("pairs", test, 0, PAIR_COUNT).run(FaultPointTest::twoFaults));
     }
 
     private static List<String> singleFaults(int step) {
@@ -96,7 +91,7 @@
     }
 
     /** Two faults that overlap may be more than is tolerated: then nothing has to be served. */
-    private static String twoFaults(int seed) {
+    private static String twoFaults(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         Scenario scenario = Scenario.values()[random.nextInt(Scenario.values().length)];
         int size = new int[] {3, 4, 5, 8}[random.nextInt(4)];
--- a/src/test/java/myrtleladder/controlplane/model/RandomFaultScheduleTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/RandomFaultScheduleTest.java
@@ -3,32 +3,31 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-import java.util.stream.LongStream;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Random schedules of faults as close to each other as the deployments allow. */
 class RandomFaultScheduleTest {
-    private static final int MAX_SHOWN = 5;
+    private static final long CASES_IN_CI = 1_000;
+    private static final long CASES_IN_LONG_PROFILE = 100_000;
+    private static final String LONG_TEST =
+            "RandomFaultScheduleTest#manyRandomFaultsLoseNothingThatWasAcknowledged";
 
     @Test
     void randomFaultsLoseNothingThatWasAcknowledged() {
-        assertEquals(List.of(), violations(0, 1_000));
+        assertEquals(List.of(), violations("ci-schedules", 0, CASES_IN_CI));
     }
 
     @Test
     @Tag("long")
     void manyRandomFaultsLoseNothingThatWasAcknowledged() {
-        assertEquals(List.of(), violations(1_000, 101_000));
+        assertEquals(
+                List.of(),
+                violations("schedules", CASES_IN_CI, CASES_IN_CI + CASES_IN_LONG_PROFILE));
     }
 
-    private static List<String> violations(long from, long to) {
-        return LongStream.range(from, to)
-                .parallel()
-                .mapToObj(RandomFaultScheduleTest::violations)
-                .filter(violations -> !violations.isEmpty())
-                .limit(MAX_SHOWN)
-                .toList();
+    private static List<String> violations(String name, long from, long to) {
+        return new Sweep(name, LONG_TEST, from, to).run(RandomFaultScheduleTest::violations);
     }
 
     private static String violations(long seed) {
