--- a/src/test/java/myrtleladder/replication/VirtualNetwork.java
+++ b/src/test/java/myrtleladder/replication/VirtualNetwork.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import myrtleladder.protocol.Message;
@@ -17,6 +18,7 @@
     private final SplittableRandom random;
     private final Function<String, VirtualNode> nodeAt;
     private final Set<Link> partitionedLinks = new HashSet<>();
+    private BiConsumer<VirtualNode, Message> onCall = (caller, request) -> {};
 
     /** One direction between two addresses. */
     private record Link(String from, String to) {}
@@ -53,6 +55,11 @@
         this.nodeAt = nodeAt;
     }
 
+    /** Sets who sees each request when it is sent. */
+    void onCall(BiConsumer<VirtualNode, Message> observer) {
+        onCall = observer;
+    }
+
     /** Sends a request; see {@link Peers#call}. */
     void call(
             VirtualNode caller,
@@ -60,6 +67,7 @@
             Message request,
             long timeoutMs,
             Consumer<Message> answer) {
+        onCall.accept(caller, request);
         byte[] bytes = MessageCodec.encode(request);
         Call call = new Call(caller, answer);
         clock.schedule(timeoutMs, () -> call.complete(null));
