--- a/src/test/java/myrtleladder/http/HttpTest.java
+++ b/src/test/java/myrtleladder/http/HttpTest.java
@@ -1,5 +1,6 @@
 package myrtleladder.http;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -285,6 +287,33 @@
         }
     }
 
+    /** Long enough that the sockets' buffers can't hold it. */
+    private static final int LONG_BODY_BYTES = 8 * 1_024 * 1_024;
+
+    @Test
+    void restOfABodyThatWasAnsweredEarlyPrecedesTheNextRequest() throws Exception {
+        byte[] body = new byte[LONG_BODY_BYTES];
+        Arrays.fill(body, (byte) 'x');
+        RequestHead next = new RequestHead("GET", "/next", new Headers().add("Host", "h"));
+        try (ServerSocket upstream = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            HttpConnection connection =
+                    ask(
+                            upstream.getLocalPort(),
+                            new RequestHead("POST", "/long", new Headers().add("Host", "h")),
+                            body);
+            try (Socket peer = accept(upstream)) {
+                readUntil(peer, "\r\n\r\n");
+                send(peer, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
+                assertEquals("head 413 null", next());
+                assertEquals("end true", next());
+                loop.execute(() -> connection.send(next, NONE));
+                assertArrayEquals(body, peer.getInputStream().readNBytes(LONG_BODY_BYTES));
+                String request = readUntil(peer, "\r\n\r\n");
+                assertTrue(request.startsWith("GET /next HTTP/1.1\r\n"), request);
+            }
+        }
+    }
+
     @Test
     void aTruncatedResponseIsReportedAsClosed() throws Exception {
         for (String cut :
