Serve each metric of the load balancer as myrtleladder_* beside its former name

Need: the metrics' names are of a withdrawn house style, and dashboards read them, so both names are to be served. Measured: AdminCompatibilityTest passes. ServeTest failed once by its time limit of 60 s at a load of 20 to 28 and passed in 13 s right after; the cause is not found, it is being looked for.

--- a/src/main/java/myrtleladder/loadbalancer/admin/BalancerMetrics.java
+++ b/src/main/java/myrtleladder/loadbalancer/admin/BalancerMetrics.java
@@ -26,6 +26,9 @@
  * <p>Scraped by the thread of the admin server.
  */
 final class BalancerMetrics implements AutoCloseable {
+    /** Each metric has both names: dashboards and alerts still read the former one. */
+    private static final List<String> PREFIXES = List.of("yewyoke.", "myrtleladder.");
+
     private static final List<String> ANSWERS = List.of("served", "refused", "failed", "left");
     private static final BalancerStatus NOT_READ_YET =
             new BalancerStatus(false, 0, 0, 0, 0, 0, Map.of(), Map.of());
@@ -73,22 +76,19 @@
     }
 
     private void registerBalancerMetrics() {
-        gauge("yewyoke.ready", "1 if there is a list to serve from", s -> s.isReady() ? 1 : 0);
-        gauge("yewyoke.upstreams", "Upstreams on the list", BalancerStatus::upstreams);
-        gauge(
-                "yewyoke.requests.open",
-                "Requests taken and not ended",
-                BalancerStatus::openRequests);
-        gauge("yewyoke.connections", "Connections to upstreams", BalancerStatus::connections);
+        gauge("ready", "1 if there is a list to serve from", s -> s.isReady() ? 1 : 0);
+        gauge("upstreams", "Upstreams on the list", BalancerStatus::upstreams);
+        gauge("requests.open", "Requests taken and not ended", BalancerStatus::openRequests);
+        gauge("connections", "Connections to upstreams", BalancerStatus::connections);
         counter(
-                "yewyoke.connects",
+                "connects",
                 "Connections opened to upstreams",
                 Tags.empty(),
                 BalancerStatus::connects);
-        counter("yewyoke.requests", "Requests taken", Tags.empty(), BalancerStatus::requests);
+        counter("requests", "Requests taken", Tags.empty(), BalancerStatus::requests);
         for (String answer : ANSWERS) {
             counter(
-                    "yewyoke.answers",
+                    "answers",
                     "Requests by how they ended",
                     Tags.of("answer", answer),
                     s -> s.answers().getOrDefault(answer, 0L));
@@ -99,7 +99,7 @@
     private void registerAttemptMetrics() {
         for (String end : balancerStatus.attempts().keySet()) {
             counter(
-                    "yewyoke.attempts",
+                    "attempts",
                     "Attempts by how they ended",
                     Tags.of("end", end),
                     s -> s.attempts().getOrDefault(end, 0L));
@@ -108,42 +108,48 @@
 
     private void registerConsensusMetrics() {
         consensusGauge(
-                "yewyoke.agreement.decides",
+                "agreement.decides",
                 "1 if a majority of the council is heard here",
                 s -> s.decides() ? 1 : 0);
         consensusGauge(
-                "yewyoke.agreement.leads",
+                "agreement.leads",
                 "1 if this process leads",
                 s -> s.self().equals(s.leader()) ? 1 : 0);
+        consensusGauge("agreement.members", "Lives in the view", s -> s.view().lives().size());
+        consensusGauge("agreement.applied", "Decrees known here", ConsensusStatus::applied);
         consensusGauge(
-                "yewyoke.agreement.members", "Lives in the view", s -> s.view().lives().size());
-        consensusGauge("yewyoke.agreement.applied", "Decrees known here", ConsensusStatus::applied);
-        consensusGauge(
-                "yewyoke.agreement.waiting",
+                "agreement.waiting",
                 "Commands of this process that are not decided",
                 ConsensusStatus::waiting);
     }
 
     private void gauge(String name, String description, ToDoubleFunction<BalancerStatus> value) {
-        Gauge.builder(name, () -> value.applyAsDouble(balancerStatus))
-                .description(description)
-                .register(registry);
+        for (String prefix : PREFIXES) {
+            Gauge.builder(prefix + name, () -> value.applyAsDouble(balancerStatus))
+                    .description(description)
+                    .register(registry);
+        }
     }
 
     private void counter(
             String name, String description, Tags tags, Function<BalancerStatus, Long> value) {
-        FunctionCounter.builder(name, this, metrics -> value.apply(metrics.balancerStatus))
-                .description(description)
-                .tags(tags)
-                .register(registry);
+        for (String prefix : PREFIXES) {
+            FunctionCounter.builder(
+                            prefix + name, this, metrics -> value.apply(metrics.balancerStatus))
+                    .description(description)
+                    .tags(tags)
+                    .register(registry);
+        }
     }
 
     /** A gauge of the consensus; not a number while the event loop does not answer. */
     private void consensusGauge(
             String name, String description, ToDoubleFunction<ConsensusStatus> value) {
-        Gauge.builder(name, () -> consensusValue(value))
-                .description(description)
-                .register(registry);
+        for (String prefix : PREFIXES) {
+            Gauge.builder(prefix + name, () -> consensusValue(value))
+                    .description(description)
+                    .register(registry);
+        }
     }
 
     private double consensusValue(ToDoubleFunction<ConsensusStatus> value) {
--- a/src/test/java/myrtleladder/loadbalancer/admin/AdminCompatibilityTest.java
+++ b/src/test/java/myrtleladder/loadbalancer/admin/AdminCompatibilityTest.java
@@ -1,5 +1,8 @@
 package myrtleladder.loadbalancer.admin;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.netty.util.concurrent.DefaultPromise;
@@ -11,7 +14,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.function.Supplier;
@@ -81,6 +86,24 @@
         }
     }
 
+    /** The names that dashboards read stay; each metric has its name of today beside. */
+    @Test
+    void eachMetricIsServedUnderBothNames() throws Exception {
+        try (AdminServer admin = admin(AdminCompatibilityTest::known)) {
+            List<String> former = new ArrayList<>();
+            List<String> names = new ArrayList<>();
+            for (String line : ask(admin, "GET", "/metrics").body().lines().toList()) {
+                if (line.startsWith("yewyoke_")) {
+                    former.add(line.substring("yewyoke_".length()));
+                } else if (line.startsWith("myrtleladder_")) {
+                    names.add(line.substring("myrtleladder_".length()));
+                }
+            }
+            assertTrue(former.size() > 10, former.toString());
+            assertEquals(former.stream().sorted().toList(), names.stream().sorted().toList());
+        }
+    }
+
     /**
      * The figures of the process itself: their names and types alone, since their values are the
      * JVM's.
