Leave no control process running if a partition test fails at its start

Cause: a start that failed after the nodes were up left five processes at the addresses that the next tests of the same JVM use, so ControlProcessesTest failed as a whole in that run (four tests, 15 s each). Change: started() waits for all members and closes the processes on failure.

--- a/src/test/java/myrtleladder/controlplane/ControlPartitionTest.java
+++ b/src/test/java/myrtleladder/controlplane/ControlPartitionTest.java
@@ -38,6 +38,7 @@
         proxy.close();
     }
 
+    /** Nodes that are all members of the group; none is left running if that fails. */
     private ControlProcesses started(int nodes) throws Exception {
         List<String> names = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
@@ -49,6 +50,7 @@
                 processes.start(name, true);
             }
             processes.firstChange();
+            processes.awaitMembers(names);
             return processes;
         } catch (Exception | AssertionError e) {
             processes.close();
@@ -130,16 +132,9 @@
         }
     }
 
-    /** Five nodes, all of them members; two hold the state. */
-    private ControlProcesses startedWithFiveMembers() throws Exception {
-        ControlProcesses processes = started(5);
-        processes.awaitMembers(processes.names());
-        return processes;
-    }
-
     @Test
     void majorityGoesOnWithoutTheLeaderAndAnotherVoter() throws Exception {
-        try (ControlProcesses processes = startedWithFiveMembers();
+        try (ControlProcesses processes = started(5);
                 ControlTraffic traffic = new ControlTraffic(processes)) {
             awaitChanges(traffic, 2);
             String leader = processes.awaitLeader();
@@ -162,7 +157,7 @@
 
     @Test
     void serviceRestsWhileTheMajorityHasNoCopyOfTheState() throws Exception {
-        try (ControlProcesses processes = startedWithFiveMembers();
+        try (ControlProcesses processes = started(5);
                 ControlTraffic traffic = new ControlTraffic(processes)) {
             awaitChanges(traffic, 2);
             List<String> replicas = processes.replicas();
