Give two switches of a test a default, as Checkstyle asks

Change: both switches throw for a constant that they do not know. The tests as a whole were not run again after this change of one test class.

--- a/src/test/java/myrtleladder/dataplane/ProxiedRequestOutcomeTest.java
+++ b/src/test/java/myrtleladder/dataplane/ProxiedRequestOutcomeTest.java
@@ -60,6 +60,7 @@
                 first.sendEvent(1);
                 first.sendEvent(2);
             }
+            default -> throw new IllegalStateException(received.toString());
         }
         first.loseConnection();
     }
@@ -88,6 +89,7 @@
             case STAY_SILENT, REFUSE_CONNECTION, CLIENT_LEAVES -> {
                 // nothing comes from the upstream
             }
+            default -> throw new IllegalStateException(upstreams.toString());
         }
     }
 
