--- a/src/test/java/myrtleladder/controlplane/model/RandomFaultScheduleTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/RandomFaultScheduleTest.java
@@ -15,7 +15,7 @@
 
     @Test
     void randomFaultsLoseNothingThatWasAcknowledged() {
-        assertEquals(List.of(), violations("ci-schedules", 0, CASES_IN_CI));
+        assertEquals(List.of(), violations("schedules", 0, CASES_IN_CI));
     }
 
     @Test
