--- a/src/main/java/myrtleladder/cluster/FaultPointTrigger.java
+++ b/src/main/java/myrtleladder/cluster/FaultPointTrigger.java
@@ -23,7 +23,7 @@
     /** The system property that only the test bed sets. */
     public static final String PROPERTY = "myrtleladder.testbed.fault";
 
-    /** Chosen: longer than any timer of membership or consensus. */
+    /** Longer than any timer of membership or consensus. */
     private static final long STALL_MS = 12_000;
 
     /** The exit status that a shell reports for SIGKILL (128 + 9). */
--- a/src/main/java/myrtleladder/cluster/MembershipRuntime.java
+++ b/src/main/java/myrtleladder/cluster/MembershipRuntime.java
@@ -33,10 +33,10 @@
 public final class MembershipRuntime implements Membership.Output {
     private static final System.Logger LOG = System.getLogger(MembershipRuntime.class.getName());
 
-    /** Chosen: a member of a fleet of 5,000 receives about ten in an interval. */
+    /** A member of a fleet of 5,000 receives about ten in an interval. */
     private static final int MAX_DATAGRAMS_PER_INTERVAL = 200;
 
-    /** Chosen: a tenth of a second. */
+    /** A tenth of a second. */
     private static final long RECEIVE_INTERVAL_NANOS = 100_000_000;
 
     /** Reason under which operators see the datagrams that exceeded the rate. */
--- a/src/main/java/myrtleladder/cluster/UpstreamTrials.java
+++ b/src/main/java/myrtleladder/cluster/UpstreamTrials.java
@@ -13,28 +13,28 @@
  * microseconds. Confined to the event loop.
  */
 final class UpstreamTrials {
-    /** Chosen: an upstream that has not served so many attempts in a row is failing. */
+    /** An upstream that has not served so many attempts in a row is failing. */
     private static final int FAILING_AFTER_ATTEMPTS = 5;
 
-    /** Chosen: after so many attempts a trial is complete. */
+    /** After so many attempts a trial is complete. */
     private static final int TRIAL_ATTEMPTS = 20;
 
-    /** Chosen: after so long a trial is complete, whatever the number of attempts. */
+    /** After so long a trial is complete, whatever the number of attempts. */
     private static final long TRIAL_DURATION_US = 10_000_000;
 
-    /** Chosen: with fewer attempts nothing is concluded. */
+    /** With fewer attempts nothing is concluded. */
     private static final int MIN_ATTEMPTS = 5;
 
-    /** Chosen: an upstream that fails more than this share of its attempts is worse. */
+    /** An upstream that fails more than this share of its attempts is worse. */
     private static final double MAX_FAILED_SHARE = 0.5;
 
     /**
-     * Chosen: an upstream that takes so many times as long as the others is worse. One that warms
-     * up takes up to a few times as long.
+     * An upstream that takes so many times as long as the others is worse. One that warms up takes
+     * up to a few times as long.
      */
     private static final double MAX_LATENCY_RATIO = 8;
 
-    /** Chosen: weight of a new attempt in the mean latency of the others. */
+    /** Weight of a new attempt in the mean latency of the others. */
     private static final double SMOOTHING_FACTOR = 0.02;
 
     private static final double MICROS_PER_MILLI = 1e3;
--- a/src/main/java/myrtleladder/configuration/ClientLimits.java
+++ b/src/main/java/myrtleladder/configuration/ClientLimits.java
@@ -1,7 +1,7 @@
 package myrtleladder.configuration;
 
 /**
- * Limits on clients; the defaults are chosen.
+ * Limits on clients.
  *
  * @param maxHeaderBytes {@code max_header_bytes} of a request; default 16 KiB
  * @param maxBodyBytes {@code max_body_bytes} of a request; default 4 MiB
--- a/src/main/java/myrtleladder/configuration/Compression.java
+++ b/src/main/java/myrtleladder/configuration/Compression.java
@@ -13,7 +13,7 @@
 public final class Compression {
     private static final int BUFFER_BYTES = 8 * 1_024;
 
-    /** Longest document that is decompressed, against damaged or forged input. Chosen. */
+    /** Longest document that is decompressed, against damaged or forged input. */
     static final int MAX_DOCUMENT_BYTES = 64 * 1_024 * 1_024;
 
     private Compression() {}
--- a/src/main/java/myrtleladder/consensus/CommittedState.java
+++ b/src/main/java/myrtleladder/consensus/CommittedState.java
@@ -9,7 +9,7 @@
  * Entries are applied in the order of the log, each once.
  */
 final class CommittedState {
-    /** Proposers whose last sequence number is remembered, ended processes included; chosen. */
+    /** Proposers whose last sequence number is remembered, ended processes included. */
     private static final int MAX_PROPOSERS = 1_024;
 
     private final ReplicatedLog log;
--- a/src/main/java/myrtleladder/consensus/ConsensusSettings.java
+++ b/src/main/java/myrtleladder/consensus/ConsensusSettings.java
@@ -25,31 +25,31 @@
         long bootstrapDelayUs,
         int retainedLogEntries,
         int maxDatagramBytes) {
-    /** Part of a datagram that a command leaves to the entry and the message; chosen. */
+    /** Part of a datagram that a command leaves to the entry and the message. */
     static final int COMMAND_OVERHEAD_BYTES = 500;
 
     /**
-     * Most voting members; derived: a bootstrap names all of them in one datagram, and more than
-     * nine votes add no safety.
+     * Most voting members; a bootstrap names all of them in one datagram, and more than nine votes
+     * add no safety.
      */
     static final int MAX_COUNCIL_SIZE = 9;
 
-    /** Default of {@code heartbeatIntervalUs}; chosen. */
+    /** Default of {@code heartbeatIntervalUs}. */
     private static final long DEFAULT_HEARTBEAT_INTERVAL_US = 200_000;
 
-    /** Default of {@code electionTimeoutUs}; chosen so that a leader is replaced within 3 s. */
+    /** Default of {@code electionTimeoutUs}, so that a leader is replaced within 3 s. */
     private static final long DEFAULT_ELECTION_TIMEOUT_US = 800_000;
 
-    /** Default of {@code viewStabilityUs}; chosen. */
+    /** Default of {@code viewStabilityUs}. */
     private static final long DEFAULT_VIEW_STABILITY_US = 3_000_000;
 
-    /** Default of {@code bootstrapDelayUs}; chosen. */
+    /** Default of {@code bootstrapDelayUs}. */
     private static final long DEFAULT_BOOTSTRAP_DELAY_US = 3_000_000;
 
-    /** Default of {@code retainedLogEntries}; chosen. */
+    /** Default of {@code retainedLogEntries}. */
     private static final int DEFAULT_RETAINED_LOG_ENTRIES = 256;
 
-    /** Default of {@code maxDatagramBytes}; chosen. */
+    /** Default of {@code maxDatagramBytes}. */
     private static final int DEFAULT_MAX_DATAGRAM_BYTES = 1_400;
 
     /**
--- a/src/main/java/myrtleladder/consensus/MessageEncoder.java
+++ b/src/main/java/myrtleladder/consensus/MessageEncoder.java
@@ -14,17 +14,14 @@
  * {@link MessageDecoder} reads; processes of two versions exchange it during a rolling update.
  */
 final class MessageEncoder {
-    /**
-     * Upper bound of a datagram's size without its entries, or without the part of a snapshot;
-     * chosen.
-     */
+    /** Upper bound of a datagram's size without its entries, or without the part of a snapshot. */
     static final int MAX_HEADER_BYTES = 420;
 
     static final int POSITIVE_FLAG = 1;
     static final int VOTER_FLAG = 2;
     static final int READY_TO_BOOTSTRAP_FLAG = 4;
 
-    /** Initial size of the buffer of an encoded object; chosen. */
+    /** Initial size of the buffer of an encoded object. */
     private static final int INITIAL_BUFFER_BYTES = 512;
 
     private static final JsonFactory JSON = new JsonFactory();
--- a/src/main/java/myrtleladder/consensus/ObservedMembership.java
+++ b/src/main/java/myrtleladder/consensus/ObservedMembership.java
@@ -15,8 +15,8 @@
     static final long ABSENT = 0;
 
     /**
-     * Changes that a node reports to its leader, and that go into one view; chosen so that they fit
-     * into a datagram.
+     * Changes that a node reports to its leader, and that go into one view, so that they fit into a
+     * datagram.
      */
     private static final int MAX_CHANGES = 8;
 
--- a/src/main/java/myrtleladder/consensus/SnapshotSender.java
+++ b/src/main/java/myrtleladder/consensus/SnapshotSender.java
@@ -12,7 +12,7 @@
     private final MessageSender sender;
     private final ConsensusEnvironment environment;
 
-    /** Bytes of a snapshot in one datagram; derived: Base64 encodes three bytes as four. */
+    /** Bytes of a snapshot in one datagram; Base64 encodes three bytes as four. */
     private final int maxChunkBytes;
 
     SnapshotSender(
--- a/src/main/java/myrtleladder/eventloop/EventLoop.java
+++ b/src/main/java/myrtleladder/eventloop/EventLoop.java
@@ -34,13 +34,13 @@
     private static final java.util.logging.Logger LIBRARY_LOG =
             java.util.logging.Logger.getLogger("org.glassfish.grizzly");
 
-    /** Longest selection without a timer. Chosen. */
+    /** Longest selection without a timer. */
     private static final long MAX_SELECT_MS = 10_000;
 
-    /** Connections that the kernel accepts ahead of the loop. Chosen. */
+    /** Connections that the kernel accepts ahead of the loop. */
     private static final int ACCEPT_BACKLOG = 1_024;
 
-    /** Most bytes taken in one read. Chosen. */
+    /** Most bytes taken in one read. */
     private static final int READ_BUFFER_BYTES = 16 * 1_024;
 
     private final TimerQueue timers = new TimerQueue();
--- a/src/main/java/myrtleladder/gossip/AntiEntropy.java
+++ b/src/main/java/myrtleladder/gossip/AntiEntropy.java
@@ -14,16 +14,16 @@
  * are in microseconds.
  */
 final class AntiEntropy {
-    /** Chosen: periods without a change after which updates have had time to arrive. */
+    /** Periods without a change after which updates have had time to arrive. */
     private static final int SETTLED_PERIODS = 3;
 
-    /** Chosen: tables that never settle are compared once in so many periods. */
+    /** Tables that never settle are compared once in so many periods. */
     private static final int UNSETTLED_COMPARISON_PERIODS = 15;
 
-    /** Chosen: periods between two comparisons at least. */
+    /** Periods between two comparisons at least. */
     private static final int MIN_COMPARISON_PERIODS = 2;
 
-    /** Chosen, to bound the answer to one datagram. */
+    /** Bounds the answer to one datagram. */
     private static final int MAX_DATAGRAMS = 16;
 
     private final GossipSettings settings;
--- a/src/main/java/myrtleladder/gossip/DisseminationQueue.java
+++ b/src/main/java/myrtleladder/gossip/DisseminationQueue.java
@@ -13,7 +13,7 @@
  * older.
  */
 final class DisseminationQueue {
-    /** Chosen, to bound memory; what is evicted still spreads by anti-entropy. */
+    /** Bounds memory; what is evicted still spreads by anti-entropy. */
     private static final int MAX_UPDATES = 256;
 
     /** The least sent first, and among these the latest. */
--- a/src/main/java/myrtleladder/gossip/GossipCodec.java
+++ b/src/main/java/myrtleladder/gossip/GossipCodec.java
@@ -17,21 +17,21 @@
 final class GossipCodec {
     private static final JsonFactory JSON = new JsonFactory();
 
-    /** Characters of one string; chosen, so that several updates fit into one datagram. */
+    /** Characters of one string, so that several updates fit into one datagram. */
     private static final int MAX_STRING_LENGTH = 64;
 
-    /** Elements of one array of digests or updates; chosen. */
+    /** Elements of one array of digests or updates. */
     private static final int MAX_ARRAY_LENGTH = 64;
 
     private static final int HEX_RADIX = 16;
 
-    /** Chosen: leaves a member room to refute with a higher incarnation. */
+    /** Leaves a member room to refute with a higher incarnation. */
     private static final long MAX_INCARNATION = 1L << 52;
 
-    /** Initial size of the buffer for one datagram; chosen. */
+    /** Initial size of the buffer for one datagram. */
     private static final int DATAGRAM_BUFFER_BYTES = 512;
 
-    /** Initial size of the buffer for one update; chosen. */
+    /** Initial size of the buffer for one update. */
     private static final int UPDATE_BUFFER_BYTES = 256;
 
     private static final String MALFORMED = "malformed";
--- a/src/main/java/myrtleladder/gossip/GossipSettings.java
+++ b/src/main/java/myrtleladder/gossip/GossipSettings.java
@@ -35,37 +35,37 @@
         int maxMembers,
         int maxDatagramBytes) {
 
-    /** Chosen so that a crash is known within 3 s in a fleet of 20 (docs/membership.md). */
+    /** Set so that a crash is known within 3 s in a fleet of 20 (docs/membership.md). */
     private static final long DEFAULT_PROTOCOL_PERIOD_US = 300_000;
 
-    /** Chosen: a third of the period leaves time for the indirect probes. */
+    /** A third of the period leaves time for the indirect probes. */
     private static final long DEFAULT_ACK_TIMEOUT_US = 100_000;
 
-    /** Chosen. */
+    /** Default of {@code indirectProbes}. */
     private static final int DEFAULT_INDIRECT_PROBES = 3;
 
-    /** Chosen. */
+    /** Default of {@code gossipFanout}. */
     private static final int DEFAULT_GOSSIP_FANOUT = 2;
 
-    /** Chosen. */
+    /** Default of the shortest suspicion, in protocol periods. */
     private static final double DEFAULT_SUSPICION_MIN_PERIODS = 4;
 
-    /** Chosen. */
+    /** Default of the longest suspicion, as a multiple of the shortest. */
     private static final double DEFAULT_SUSPICION_MAX_MULTIPLIER = 6;
 
-    /** Chosen. */
+    /** Default number of confirmations that shorten a suspicion. */
     private static final int DEFAULT_SUSPICION_CONFIRMATIONS = 3;
 
-    /** Chosen. */
+    /** Default of the retransmissions, as a multiple of the logarithm of the size. */
     private static final double DEFAULT_RETRANSMIT_MULTIPLIER = 4;
 
-    /** Chosen: 10 minutes are longer than any datagram is late. */
+    /** 10 minutes are longer than any datagram is late. */
     private static final long DEFAULT_TOMBSTONE_TTL_US = 600_000_000;
 
-    /** Chosen, to bound memory. */
+    /** Bounds memory. */
     private static final int DEFAULT_MAX_MEMBERS = 10_000;
 
-    /** Chosen. */
+    /** Default of the largest datagram, in bytes. */
     private static final int DEFAULT_MAX_DATAGRAM_BYTES = 1_400;
 
     /** The defaults for a fleet. */
--- a/src/main/java/myrtleladder/gossip/MemberMetadata.java
+++ b/src/main/java/myrtleladder/gossip/MemberMetadata.java
@@ -14,10 +14,10 @@
     /** Publishes nothing. */
     public static final MemberMetadata NONE = new MemberMetadata("", "", 0, List.of());
 
-    /** Characters of one text; chosen, so that several updates fit into one datagram. */
+    /** Characters of one text, so that several updates fit into one datagram. */
     static final int MAX_TEXT_LENGTH = 64;
 
-    /** Capabilities of one member; chosen, for the same reason. */
+    /** Capabilities of one member, for the same reason. */
     static final int MAX_CAPABILITIES = 8;
 
     /**
--- a/src/main/java/myrtleladder/gossip/MemberTable.java
+++ b/src/main/java/myrtleladder/gossip/MemberTable.java
@@ -14,8 +14,8 @@
  */
 final class MemberTable {
     /**
-     * Chosen: so many digests fit into a datagram with room to spare, and 5,000 members make 157
-     * updates a bucket. A power of two, and no more than the bits of a long.
+     * So many digests fit into a datagram with room to spare, and 5,000 members make 157 updates a
+     * bucket. A power of two, and no more than the bits of a long.
      */
     static final int BUCKETS = 32;
 
--- a/src/main/java/myrtleladder/gossip/Membership.java
+++ b/src/main/java/myrtleladder/gossip/Membership.java
@@ -20,19 +20,18 @@
  * <p>This class assembles the protocol and dispatches datagrams and timers to its parts.
  */
 public final class Membership {
-    /** Chosen: addresses without a known member are probed once in so many periods. */
+    /** Addresses without a known member are probed once in so many periods. */
     private static final int RECONNECT_PERIODS = 3;
 
     /**
-     * Chosen: with so many updates queued, those that came by anti-entropy are not disseminated as
-     * well.
+     * With so many updates queued, those that came by anti-entropy are not disseminated as well.
      */
     private static final int MAX_QUEUED_FOR_FORWARDING = 64;
 
-    /** Chosen: members that are told at once that this process leaves. */
+    /** Members that are told at once that this process leaves. */
     private static final int LEAVE_FANOUT = 8;
 
-    /** How much worse a stall makes the local health; chosen. */
+    /** How much worse a stall makes the local health. */
     private static final int STALL_PENALTY = 2;
 
     private static final int MICROS_PER_MILLI = 1_000;
--- a/src/main/java/myrtleladder/gossip/NameConflictDetector.java
+++ b/src/main/java/myrtleladder/gossip/NameConflictDetector.java
@@ -9,7 +9,7 @@
  * updates and stop raising their incarnations against each other.
  */
 final class NameConflictDetector {
-    /** Chosen: a rival that has not answered for so many protocol periods is gone. */
+    /** A rival that has not answered for so many protocol periods is gone. */
     private static final int RIVAL_TIMEOUT_PERIODS = 10;
 
     private static final long NEVER_US = Long.MIN_VALUE;
--- a/src/main/java/myrtleladder/gossip/PeerSelector.java
+++ b/src/main/java/myrtleladder/gossip/PeerSelector.java
@@ -12,7 +12,7 @@
  * time until a given member is probed (SWIM, section 4.3).
  */
 final class PeerSelector {
-    /** Random draws for each member that is wanted; chosen, to bound the effort. */
+    /** Random draws for each member that is wanted, to bound the effort. */
     private static final int DRAWS_PER_MEMBER = 4;
 
     private final String localName;
--- a/src/main/java/myrtleladder/gossip/ProbeRelay.java
+++ b/src/main/java/myrtleladder/gossip/ProbeRelay.java
@@ -8,7 +8,7 @@
  * a NACK, which tells the other one that at least this process is reached (Lifeguard).
  */
 final class ProbeRelay {
-    /** Chosen, to bound memory. */
+    /** Bounds memory. */
     private static final int MAX_PENDING = 256;
 
     private final GossipSettings settings;
--- a/src/main/java/myrtleladder/heartbeat/HeartbeatAgent.java
+++ b/src/main/java/myrtleladder/heartbeat/HeartbeatAgent.java
@@ -17,16 +17,16 @@
  * <p>Confined to the event loop of the scheduler.
  */
 public final class HeartbeatAgent {
-    /** Number of processes that monitor one. Chosen. */
+    /** Number of processes that monitor one. */
     private static final int MONITOR_COUNT = 2;
 
-    /** Interval of heartbeats. Chosen. */
+    /** Interval of heartbeats. */
     private static final long HEARTBEAT_INTERVAL_MS = 600;
 
-    /** A process counts as live this long after its last heartbeat. Chosen. */
+    /** A process counts as live this long after its last heartbeat. */
     private static final long LIVENESS_TIMEOUT_MS = 2_000;
 
-    /** Timeout of a heartbeat's acknowledgement, which is not looked at. Chosen. */
+    /** Timeout of a heartbeat's acknowledgement, which is not looked at. */
     private static final long REQUEST_TIMEOUT_MS = 400;
 
     private final Scheduler scheduler;
--- a/src/main/java/myrtleladder/http/HttpConnection.java
+++ b/src/main/java/myrtleladder/http/HttpConnection.java
@@ -36,7 +36,7 @@
     private static final Attribute<HttpConnection> STATE =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("myrtleladder.client");
 
-    /** Longest response head. Chosen. */
+    /** Longest response head. */
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
 
     private static final FilterChain CHAIN =
--- a/src/main/java/myrtleladder/http/HttpServer.java
+++ b/src/main/java/myrtleladder/http/HttpServer.java
@@ -30,13 +30,13 @@
  * <p>Threading: confined to the event loop, which also calls the handler.
  */
 public final class HttpServer {
-    /** Longest request head. Chosen. */
+    /** Longest request head. */
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
 
-    /** Most header fields of a request or response. Chosen. */
+    /** Most header fields of a request or response. */
     private static final int MAX_HEADERS = 100;
 
-    /** Longest request body until {@link #limitBody} is called. Chosen. */
+    /** Longest request body until {@link #limitBody} is called. */
     private static final long DEFAULT_MAX_BODY_BYTES = 8L * 1_024 * 1_024;
 
     private static final Attribute<ServerConnection> STATE =
--- a/src/main/java/myrtleladder/http/ServerConnection.java
+++ b/src/main/java/myrtleladder/http/ServerConnection.java
@@ -14,7 +14,7 @@
  * <p>Threading: confined to the event loop.
  */
 final class ServerConnection {
-    /** Pipelined requests behind the current one; with more the connection is closed. Chosen. */
+    /** Pipelined requests behind the current one; with more the connection is closed. */
     private static final int MAX_PIPELINED = 16;
 
     /** Value of {@link #receivingSinceMs} while no request is incomplete. */
--- a/src/main/java/myrtleladder/loadbalancer/admin/AdminClient.java
+++ b/src/main/java/myrtleladder/loadbalancer/admin/AdminClient.java
@@ -14,7 +14,7 @@
 
 /** Asks the admin server of a process. */
 final class AdminClient {
-    /** Chosen: longer than the admin server waits for its event loop. */
+    /** Longer than the admin server waits for its event loop. */
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     private static final int OK = 200;
--- a/src/main/java/myrtleladder/loadbalancer/admin/AdminServer.java
+++ b/src/main/java/myrtleladder/loadbalancer/admin/AdminServer.java
@@ -28,7 +28,7 @@
  * 503.
  */
 final class AdminServer implements AutoCloseable {
-    /** Chosen: a maintenance plan of 1,000 machines is smaller. */
+    /** A maintenance plan of 1,000 machines is smaller. */
     private static final int MAX_BODY_BYTES = 256 * 1_024;
 
     private final EventLoopGroup group =
--- a/src/main/java/myrtleladder/loadbalancer/admin/EventLoopQueries.java
+++ b/src/main/java/myrtleladder/loadbalancer/admin/EventLoopQueries.java
@@ -5,7 +5,7 @@
 
 /** Waits for what the event loop of the load balancer answers. */
 final class EventLoopQueries {
-    /** Chosen: a loop that does not answer within a second is reported as busy. */
+    /** A loop that does not answer within a second is reported as busy. */
     private static final long TIMEOUT_MS = 1_000;
 
     private EventLoopQueries() {}
--- a/src/main/java/myrtleladder/loadbalancer/admin/JsonLogFormatter.java
+++ b/src/main/java/myrtleladder/loadbalancer/admin/JsonLogFormatter.java
@@ -32,7 +32,7 @@
              "error": {"$resolver": "exception", "field": "message"},
              "stack": {"$resolver": "exception", "field": "stackTrace"}}""";
 
-    /** Characters after which a text is cut; chosen, long enough for a stack trace. */
+    /** Characters after which a text is cut, long enough for a stack trace. */
     private static final int MAX_STRING_LENGTH = 16_384;
 
     private final JsonTemplateLayout layout;
--- a/src/main/java/myrtleladder/loadbalancer/admin/MaintenancePlanReader.java
+++ b/src/main/java/myrtleladder/loadbalancer/admin/MaintenancePlanReader.java
@@ -20,15 +20,15 @@
     /** Characters of a name; as many as the datagrams of the fleet allow. */
     private static final int MAX_NAME_LENGTH = 64;
 
-    /** Chosen, to bound the commands of one plan. */
+    /** Bounds the commands of one plan. */
     private static final int MAX_MACHINES = 1_000;
 
     private static final int MAX_PERCENT = 100;
 
-    /** Chosen: machines of a plan that are out at the same time. */
+    /** Machines of a plan that are out at the same time. */
     private static final int DEFAULT_AT_ONCE = 1;
 
-    /** Chosen: share of the upstreams that stays in service. */
+    /** Share of the upstreams that stays in service. */
     private static final int DEFAULT_KEEP_PERCENT = 50;
 
     private static final int DEFAULT_PRIORITY = 0;
--- a/src/main/java/myrtleladder/loadbalancer/admin/OperatorConfiguration.java
+++ b/src/main/java/myrtleladder/loadbalancer/admin/OperatorConfiguration.java
@@ -77,7 +77,7 @@
             String zone,
             List<String> council,
             @JsonProperty("longest-work-s") Long configuredLongestWorkS) {
-        /** Chosen: a quarter of an hour. */
+        /** A quarter of an hour. */
         private static final long DEFAULT_LONGEST_WORK_S = 900;
 
         /** Seconds that the maintenance of a machine may take. */
--- a/src/main/java/myrtleladder/loadbalancer/admin/OperatorConfigurationReader.java
+++ b/src/main/java/myrtleladder/loadbalancer/admin/OperatorConfigurationReader.java
@@ -26,7 +26,7 @@
     /** Characters of a name; as many as the datagrams of the fleet allow. */
     private static final int MAX_NAME_LENGTH = 64;
 
-    /** Chosen: the maintenance of one machine takes a day at most. */
+    /** The maintenance of one machine takes a day at most. */
     private static final int MAX_LONGEST_WORK_S = 86_400;
 
     private final Path file;
--- a/src/main/java/myrtleladder/loadbalancer/admin/ServeCommand.java
+++ b/src/main/java/myrtleladder/loadbalancer/admin/ServeCommand.java
@@ -43,13 +43,13 @@
     /** What this process can do, as other members see it. */
     private static final List<String> CAPABILITIES = List.of("serve");
 
-    /** Chosen: the longest deadline of a request that counts. */
+    /** The longest deadline of a request that counts. */
     private static final long LONGEST_ATTEMPT_US = 3_000_000;
 
-    /** Chosen: the platform does not wait for long until a load balancer serves. */
+    /** The platform does not wait for long until a load balancer serves. */
     private static final long REGISTRATION_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    /** Chosen. */
+    /** Interval at which the registration is looked for, in nanoseconds. */
     private static final long REGISTRATION_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     @Option(names = "--config", paramLabel = "FILE", description = "our own configuration, as TOML")
--- a/src/main/java/myrtleladder/loadbalancer/policy/AdmissionControl.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/AdmissionControl.java
@@ -6,13 +6,13 @@
  * limit of {@link ConcurrencyLimiter}.
  */
 final class AdmissionControl {
-    /** Part of the time left that a queue may take, where loads are probed; chosen. */
+    /** Part of the time left that a queue may take, where loads are probed. */
     private static final double PROBED_SHARE = 0.6;
 
-    /** Part of the time left that a queue may take, where peers report their loads; chosen. */
+    /** Part of the time left that a queue may take, where peers report their loads. */
     static final double REPORTED_SHARE = 0.8;
 
-    /** Load below which there is always room; derived: a full request less what messages round. */
+    /** Load below which there is always room; a full request less what messages round. */
     private static final double IDLE_LOAD = 1 - 1 / PeerLoadExchange.UNITS_PER_REQUEST;
 
     private final LoadVisibility visibility;
--- a/src/main/java/myrtleladder/loadbalancer/policy/ConcurrencyLimiter.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/ConcurrencyLimiter.java
@@ -6,25 +6,25 @@
  * of sends, or one slow answer would close it.
  */
 final class ConcurrencyLimiter {
-    /** In flight by all balancers before anything is known, in requests; chosen: a short queue. */
+    /** In flight by all balancers before anything is known, in requests; a short queue. */
     static final double FIRST_TOTAL = 3;
 
-    /** Lower bound of the in-flight limit, in requests; chosen. */
+    /** Lower bound of the in-flight limit, in requests. */
     private static final double LEAST_LIMIT = 0.05;
 
-    /** Factor of the smallest cut on too long a wait; chosen. */
+    /** Factor of the smallest cut on too long a wait. */
     private static final double SMALLEST_CUT = 0.8;
 
-    /** Factor of the deepest cut on too long a wait; chosen. */
+    /** Factor of the deepest cut on too long a wait. */
     private static final double DEEPEST_CUT = 0.4;
 
-    /** Factor of the cut on a rejection; chosen: a full queue is plain. */
+    /** Factor of the cut on a rejection; a full queue is plain. */
     private static final double REJECTION_CUT = 0.7;
 
-    /** Increase for a round of answers in time, in requests; chosen. */
+    /** Increase for a round of answers in time, in requests. */
     private static final double INCREASE = 0.3;
 
-    /** Growth of the least service time, log per microsecond; chosen: doubles in half a minute. */
+    /** Growth of the least service time, log per microsecond; doubles in half a minute. */
     private static final double MIN_SERVICE_TIME_GROWTH = Math.log(2) / 30e6;
 
     private final int groupSize;
--- a/src/main/java/myrtleladder/loadbalancer/policy/EndpointSubscription.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/EndpointSubscription.java
@@ -4,10 +4,10 @@
 
 /** The subscription to the endpoint list, asked for again with exponential backoff and jitter. */
 final class EndpointSubscription {
-    /** Mean pause before the first new attempt, microseconds; chosen. */
+    /** Mean pause before the first new attempt, microseconds. */
     private static final long FIRST_BACKOFF_US = 1_000_000;
 
-    /** Greatest mean pause, microseconds; derived: an update has 6 s to come through. */
+    /** Greatest mean pause, microseconds; an update has 6 s to come through. */
     private static final long LONGEST_BACKOFF_US = 2_000_000;
 
     private final boolean isEnabled;
--- a/src/main/java/myrtleladder/loadbalancer/policy/HedgingPolicy.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/HedgingPolicy.java
@@ -9,19 +9,19 @@
  * <p>A token bucket bounds hedges to a small share of requests.
  */
 final class HedgingPolicy {
-    /** Hedges allowed for each request; chosen. */
+    /** Hedges allowed for each request. */
     private static final double TOKENS_PER_REQUEST = 0.02;
 
-    /** Most hedges saved up; chosen. */
+    /** Most hedges saved up. */
     private static final double MOST_TOKENS = 3;
 
-    /** Typical answer times to wait for an answer where enough other answers are missed; chosen. */
+    /** Typical answer times to wait for an answer where enough other answers are missed. */
     private static final double HEDGE_ANSWER_TIMES = 3;
 
-    /** Answers that should have come meanwhile and did not, for a silence to mean much; chosen. */
+    /** Answers that should have come meanwhile and did not, for a silence to mean much. */
     private static final double MISSED_ANSWERS = 2;
 
-    /** Part of the time in which a keyed request may be repeated after which to hedge; chosen. */
+    /** Part of the time in which a keyed request may be repeated after which to hedge. */
     private static final double MEMORY_SPAN_SHARE = 0.6;
 
     private final RequestStatistics statistics;
--- a/src/main/java/myrtleladder/loadbalancer/policy/KeyAffinity.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/KeyAffinity.java
@@ -5,7 +5,7 @@
  * the upstreams that are not ejected.
  */
 final class KeyAffinity {
-    /** How much likelier a key's upstream is in the own zone where crossing costs; chosen. */
+    /** How much likelier a key's upstream is in the own zone where crossing costs. */
     private static final double OWN_ZONE_FACTOR = 4;
 
     private final boolean isEnabled;
--- a/src/main/java/myrtleladder/loadbalancer/policy/LoadVisibility.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/LoadVisibility.java
@@ -8,7 +8,7 @@
  * @param byProbes upstreams are probed before a pick: {@link OnDemandProber}
  */
 record LoadVisibility(boolean byPeers, boolean byProbes) {
-    /** Points of the result that load information may cost for each request; chosen. */
+    /** Points of the result that load information may cost for each request. */
     private static final double BUDGET_POINTS = 0.02;
 
     /** Stands for a price of 0 when dividing by it. */
--- a/src/main/java/myrtleladder/loadbalancer/policy/OnDemandProber.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/OnDemandProber.java
@@ -8,19 +8,19 @@
     /** The timer that ends the wait for answers. */
     static final String TIMER = "ask";
 
-    /** Requests' worth of probing saved up for those queued; chosen. */
+    /** Requests' worth of probing saved up for those queued. */
     private static final double MOST_SAVED_REQUESTS = 10;
 
-    /** Expected round trip of a probe until one was seen, microseconds; chosen. */
+    /** Expected round trip of a probe until one was seen, microseconds. */
     private static final long FIRST_ROUND_TRIP_US = 5_000;
 
-    /** Round trips to wait for the answers before a pick; chosen. */
+    /** Round trips to wait for the answers before a pick. */
     private static final int WAIT_ROUND_TRIPS = 2;
 
-    /** Round trips after which a load is not fresh any more; chosen. */
+    /** Round trips after which a load is not fresh any more. */
     private static final int FRESH_ROUND_TRIPS = 4;
 
-    /** Greatest load taken from an answer, in requests; chosen. */
+    /** Greatest load taken from an answer, in requests. */
     private static final int GREATEST_LOAD = 255;
 
     private final boolean isEnabled;
--- a/src/main/java/myrtleladder/loadbalancer/policy/OutcomeRecorder.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/OutcomeRecorder.java
@@ -2,7 +2,7 @@
 
 /** Learns from the end of each attempt: health, pace, in-flight limit and statistics. */
 final class OutcomeRecorder {
-    /** An upstream that rejects with a smaller load than this is draining, not full; chosen. */
+    /** An upstream that rejects with a smaller load than this is draining, not full. */
     private static final double SHORT_QUEUE = 3;
 
     private final boolean isReportedByPeers;
--- a/src/main/java/myrtleladder/loadbalancer/policy/OutlierEjection.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/OutlierEjection.java
@@ -8,19 +8,19 @@
  * upstreams ejections are ignored.
  */
 final class OutlierEjection {
-    /** Typical answer times without an answer that mean that an upstream hangs; chosen. */
+    /** Typical answer times without an answer that mean that an upstream hangs. */
     static final double HANG_ANSWER_TIMES = 6;
 
-    /** Duration of the first ejection, microseconds; chosen. Doubled each time. */
+    /** Duration of the first ejection, microseconds. Doubled each time. */
     static final long FIRST_EJECTION_US = 1_000_000;
 
-    /** Duration up to which ejections grow, microseconds; chosen. */
+    /** Duration up to which ejections grow, microseconds. */
     private static final long LONGEST_EJECTION_US = 8_000_000;
 
-    /** Panic threshold: with a smaller share of upstreams left, ejections are ignored; chosen. */
+    /** Panic threshold: with a smaller share of upstreams left, ejections are ignored. */
     private static final double PANIC_THRESHOLD = 0.4;
 
-    /** Smoothed error rate above which an upstream is ejected; chosen. */
+    /** Smoothed error rate above which an upstream is ejected. */
     private static final double GREATEST_ERROR_RATE = 0.5;
 
     private final RequestStatistics statistics;
--- a/src/main/java/myrtleladder/loadbalancer/policy/PeerLoadExchange.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/PeerLoadExchange.java
@@ -10,7 +10,7 @@
     /** Length of a message: three bytes name the upstream, one is in-flight. */
     static final int MESSAGE_BYTES = 4;
 
-    /** Parts of a request in which messages count; chosen. */
+    /** Parts of a request in which messages count. */
     static final double UNITS_PER_REQUEST = 8;
 
     private static final int BYTE_MASK = 255;
--- a/src/main/java/myrtleladder/loadbalancer/policy/PeriodicProber.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/PeriodicProber.java
@@ -9,10 +9,10 @@
  * price and traffic.
  */
 final class PeriodicProber {
-    /** Points of the result that probing may cost for each request; chosen. */
+    /** Points of the result that probing may cost for each request. */
     private static final double BUDGET_POINTS = 0.003;
 
-    /** Least time between two probes of one upstream, microseconds; chosen. */
+    /** Least time between two probes of one upstream, microseconds. */
     private static final long LEAST_GAP_US = 300_000;
 
     private static final double MICROS_PER_SECOND = 1e6;
--- a/src/main/java/myrtleladder/loadbalancer/policy/QueueingDelayTarget.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/QueueingDelayTarget.java
@@ -7,13 +7,13 @@
  * @param tightestUs that share of the tightest class's latency target, rounded down
  */
 record QueueingDelayTarget(double share, long tightestUs) {
-    /** Waiting aimed at under our own in-flight limit, as a share of the latency target; chosen. */
+    /** Waiting aimed at under our own in-flight limit, as a share of the latency target. */
     private static final double SHARE = 0.18;
 
-    /** Added in small groups; chosen: there the queue at an upstream is mostly our own. */
+    /** Added in small groups; there the queue at an upstream is mostly our own. */
     private static final double SMALL_GROUP_SHARE = 0.12;
 
-    /** Balancers up to which a group is small; above, the addition shrinks; chosen. */
+    /** Balancers up to which a group is small; above, the addition shrinks. */
     private static final double SMALL_GROUP = 4;
 
     static QueueingDelayTarget of(Settings settings) {
--- a/src/main/java/myrtleladder/loadbalancer/policy/RendezvousSubsetting.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/RendezvousSubsetting.java
@@ -9,10 +9,10 @@
  * it can learn everything, and none needs a connection to everyone.
  */
 final class RendezvousSubsetting {
-    /** Balancers to an upstream; chosen: few enough to report to and to be connected. */
+    /** Balancers to an upstream; few enough to report to and to be connected. */
     static final int BALANCERS_PER_UPSTREAM = 12;
 
-    /** Least upstreams in a subset; derived: with one there is no pick. */
+    /** Least upstreams in a subset; with one there is no pick. */
     static final int LEAST_UPSTREAMS = 2;
 
     private final int groupSize;
--- a/src/main/java/myrtleladder/loadbalancer/policy/RequestDispatcher.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/RequestDispatcher.java
@@ -6,7 +6,7 @@
 
 /** Moves requests from the queue to upstreams: first sends, retries and hedges. */
 final class RequestDispatcher {
-    /** Queued requests without an upstream after which the others are not looked at; chosen. */
+    /** Queued requests without an upstream after which the others are not looked at. */
     private static final int MOST_MISSES = 3;
 
     private final OpenRequests requests;
--- a/src/main/java/myrtleladder/loadbalancer/policy/RequestStatistics.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/RequestStatistics.java
@@ -2,19 +2,19 @@
 
 /** Smoothed figures over all upstreams: answer times, costs, rates of requests. */
 final class RequestStatistics {
-    /** Smoothing of each answer into an upstream's own times; chosen. */
+    /** Smoothing of each answer into an upstream's own times. */
     static final double UPSTREAM_SMOOTHING = 0.15;
 
-    /** Smoothing of each answer into the times over all; chosen: many more answers feed them. */
+    /** Smoothing of each answer into the times over all; many more answers feed them. */
     static final double FLEET_SMOOTHING = 0.02;
 
-    /** Smoothing of each request into the mean cost; chosen. */
+    /** Smoothing of each request into the mean cost. */
     private static final double COST_SMOOTHING = 0.01;
 
-    /** Smoothing of each rejection into the time that requests wait before one; chosen. */
+    /** Smoothing of each rejection into the time that requests wait before one. */
     private static final double REJECTION_SMOOTHING = 0.05;
 
-    /** Smoothing of each period into the rate of requests; chosen. */
+    /** Smoothing of each period into the rate of requests. */
     private static final double REQUEST_RATE_SMOOTHING = 0.1;
 
     private static final double MICROS_PER_SECOND = 1e6;
--- a/src/main/java/myrtleladder/loadbalancer/policy/SlowStart.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/SlowStart.java
@@ -19,16 +19,16 @@
  * those that can best bear a slow upstream would never go to one.
  */
 final class SlowStart {
-    /** Standard deviations kept free of a cold upstream's budget; chosen. */
+    /** Standard deviations kept free of a cold upstream's budget. */
     private static final double KEPT_DEVIATIONS = 5;
 
-    /** Least bucket of a cold upstream, in mean requests; chosen. */
+    /** Least bucket of a cold upstream, in mean requests. */
     private static final double LEAST_BUCKET = 1.2;
 
-    /** Smoothing of each period into the rates of work completed; chosen. */
+    /** Smoothing of each period into the rates of work completed. */
     private static final double RATE_SMOOTHING = 0.08;
 
-    /** Saved budget that is not used for so long is forgotten, microseconds; chosen. */
+    /** Saved budget that is not used for so long is forgotten, microseconds. */
     private static final long UNUSED_BUDGET_LIFETIME_US = 250_000;
 
     private final RuleFigures rules;
--- a/src/main/java/myrtleladder/loadbalancer/policy/UpstreamState.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/UpstreamState.java
@@ -18,12 +18,10 @@
     /** Bits of the upstream's hash that peers send to each other. */
     private static final int HASH_MASK = 0xFFFFFF;
 
-    /**
-     * Least utilisation that is taken for a report; chosen: slight rounding below 0 is accepted.
-     */
+    /** Least utilisation that is taken for a report; slight rounding below 0 is accepted. */
     private static final double LEAST_UTILISATION = -0.5;
 
-    /** Greatest utilisation that is taken for a report; chosen: slight excess is clamped to 1. */
+    /** Greatest utilisation that is taken for a report; slight excess is clamped to 1. */
     private static final double GREATEST_UTILISATION = 2;
 
     final String id;
--- a/src/main/java/myrtleladder/loadbalancer/policy/UtilisationLoadBalancer.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/UtilisationLoadBalancer.java
@@ -17,25 +17,25 @@
     /** The timer of the periodic work. */
     private static final String SWEEP_TIMER = "sweep";
 
-    /** Mean time between sweeps with requests queued, microseconds, jittered; chosen. */
+    /** Mean time between sweeps with requests queued, microseconds, jittered. */
     private static final long SWEEP_US = 10_000;
 
-    /** The same with none queued; chosen: timers cost CPU in large groups. */
+    /** The same with none queued; timers cost CPU in large groups. */
     private static final long IDLE_SWEEP_US = 50_000;
 
-    /** Mean reweighting period, microseconds; chosen. Jittered: balancers drift apart. */
+    /** Mean reweighting period, microseconds. Jittered: balancers drift apart. */
     private static final long REWEIGHTING_PERIOD_US = 250_000;
 
     /**
-     * Chance that a sweep dispatches what is queued, where peers report their loads; chosen. Their
-     * reports are a network delay old: else all would take the same freed place at once.
+     * Chance that a sweep dispatches what is queued, where peers report their loads. Their reports
+     * are a network delay old: else all would take the same freed place at once.
      */
     private static final double DISPATCH_CHANCE = 0.25;
 
-    /** Ticks by which a final answer precedes the deadline; chosen, since ticks are coarse. */
+    /** Ticks by which a final answer precedes the deadline, since ticks are coarse. */
     private static final long MARGIN_TICKS = 3;
 
-    /** Least tick that the margin is computed with, microseconds; chosen. */
+    /** Least tick that the margin is computed with, microseconds. */
     private static final long LEAST_TICK_US = 1_000;
 
     private final Settings settings;
--- a/src/main/java/myrtleladder/loadbalancer/policy/UtilisationWeights.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/UtilisationWeights.java
@@ -8,13 +8,13 @@
  * takes the mean weight.
  */
 public final class UtilisationWeights {
-    /** Change of the log weight in a period, for a distance of 1.0 from the mean; chosen. */
+    /** Change of the log weight in a period, for a distance of 1.0 from the mean. */
     private static final double GAIN = 1;
 
-    /** Share of the log weight that is forgotten each period; chosen. */
+    /** Share of the log weight that is forgotten each period. */
     private static final double LEAK = 0.02;
 
-    /** Bound of the log weight; chosen: 4.5 times as many in flight either way. */
+    /** Bound of the log weight; 4.5 times as many in flight either way. */
     private static final double GREATEST_LOG_WEIGHT = 6;
 
     private UtilisationWeights() {}
--- a/src/main/java/myrtleladder/loadbalancer/policy/WeightUpdater.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/WeightUpdater.java
@@ -4,9 +4,7 @@
 
 /** Updates the weights from the utilisation that upstreams last reported. */
 final class WeightUpdater {
-    /**
-     * Age above which a report says nothing, microseconds; chosen. The mean weight applies then.
-     */
+    /** Age above which a report says nothing, microseconds. The mean weight applies then. */
     private static final long REPORT_LIFETIME_US = 3_000_000;
 
     private final RequestStatistics statistics;
--- a/src/main/java/myrtleladder/loadbalancer/policy/WeightedLeastLoadPicker.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/WeightedLeastLoadPicker.java
@@ -10,22 +10,22 @@
  * subset. Preferences are stated in terms of load: one of 2 makes up for a queue twice as long.
  */
 final class WeightedLeastLoadPicker {
-    /** Exponent of load and preferences; chosen: a clearly shorter queue nearly always wins. */
+    /** Exponent of load and preferences; a clearly shorter queue nearly always wins. */
     private static final double BIAS = 4;
 
-    /** Preference for the upstream of a request's key, where affinity saves work; chosen. */
+    /** Preference for the upstream of a request's key, where affinity saves work. */
     private static final double AFFINITY_PREFERENCE = 2.5;
 
-    /** Upstreams that a pick draws among; chosen. That of the key is always one of them. */
+    /** Upstreams that a pick draws among. That of the key is always one of them. */
     private static final int SAMPLE_SIZE = 12;
 
-    /** Preference for an upstream just back from ejection; chosen. */
+    /** Preference for an upstream just back from ejection. */
     private static final double UNPROVEN_PREFERENCE = 0.74;
 
-    /** The same for a request that cannot be retried; chosen. */
+    /** The same for a request that cannot be retried. */
     private static final double UNPROVEN_PREFERENCE_UNSAFE = 0.38;
 
-    /** Exponent of the share of attempts without an error; chosen. */
+    /** Exponent of the share of attempts without an error. */
     private static final double SUCCESS_EXPONENT = 2;
 
     private final RendezvousSubsetting subsetting;
--- a/src/main/java/myrtleladder/loadbalancer/policy/ZonePreference.java
+++ b/src/main/java/myrtleladder/loadbalancer/policy/ZonePreference.java
@@ -2,7 +2,7 @@
 
 /** Prefers upstreams of the own zone by what crossing to another one costs. */
 final class ZonePreference {
-    /** Preference of the own zone for each point that crossing costs; chosen. */
+    /** Preference of the own zone for each point that crossing costs. */
     private static final double PREFERENCE_PER_POINT = 80;
 
     private final int zone;
--- a/src/main/java/myrtleladder/loadbalancer/server/Backoff.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/Backoff.java
@@ -9,10 +9,10 @@
  * <p>Not safe for use by several threads.
  */
 final class Backoff {
-    /** Chosen: mean of the first delay. */
+    /** Mean of the first delay. */
     private static final long INITIAL_MEAN_MS = 50;
 
-    /** Chosen: bound of the mean. */
+    /** Bound of the mean. */
     private static final long MAX_MEAN_MS = 1_000;
 
     private long meanMs = INITIAL_MEAN_MS;
--- a/src/main/java/myrtleladder/loadbalancer/server/BalancerConfig.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/BalancerConfig.java
@@ -38,10 +38,10 @@
         SettingsReader.ParsedSettings settings) {
     static final JsonFactory JSON = new JsonFactory();
 
-    /** Chosen: limit of file descriptors where the file has none. */
+    /** Limit of file descriptors where the file has none. */
     private static final int DEFAULT_SOCKETS = 1024;
 
-    /** Chosen: limit of memory where the file has none. */
+    /** Limit of memory where the file has none. */
     private static final int DEFAULT_MEMORY_MB = 192;
 
     /** The machine's limits. */
--- a/src/main/java/myrtleladder/loadbalancer/server/BalancerRuntime.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/BalancerRuntime.java
@@ -22,8 +22,8 @@
     private static final System.Logger LOG = System.getLogger(BalancerRuntime.class.getName());
 
     /**
-     * Chosen: how long to wait for a list from discovery before serving from the one known before
-     * the start.
+     * How long to wait for a list from discovery before serving from the one known before the
+     * start.
      */
     private static final long KNOWN_LIST_DELAY_MS = 1_000;
 
--- a/src/main/java/myrtleladder/loadbalancer/server/ClientSession.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/ClientSession.java
@@ -41,15 +41,15 @@
     private static final String HEALTH_PATH = "/healthz";
 
     /**
-     * Chosen: how long the receipt of a request may take. Clients that send none must see the end
-     * of their connection within 3 s.
+     * How long the receipt of a request may take. Clients that send none must see the end of their
+     * connection within 3 s.
      */
     private static final long RECEIVE_TIMEOUT_MS = 2_000;
 
-    /** Chosen: how long a connection that we end is still read, so that its client sees our end. */
+    /** How long a connection that we end is still read, so that its client sees our end. */
     private static final long LINGER_MS = 250;
 
-    /** Chosen: how long a client may leave responses unread before its connection is closed. */
+    /** How long a client may leave responses unread before its connection is closed. */
     private static final long WRITE_TIMEOUT_MS = 10_000;
 
     private final LoadBalancerServer server;
@@ -81,7 +81,7 @@
      * @param receivedUs when it can have come at the earliest, by the balancer's clock
      */
     private record PendingRequest(FullHttpRequest message, long receivedUs) {
-        /** Chosen: memory that a request takes beside its body, in bytes. */
+        /** Memory that a request takes beside its body, in bytes. */
         private static final long OVERHEAD_BYTES = 2_048;
 
         long bytes() {
--- a/src/main/java/myrtleladder/loadbalancer/server/ClientSessions.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/ClientSessions.java
@@ -13,25 +13,25 @@
  */
 final class ClientSessions {
     /**
-     * Chosen: part of the connections that are kept between requests. With more, a response closes
-     * its connection: to close one that looks idle can cross with the next request on it, which is
-     * then lost.
+     * Part of the connections that are kept between requests. With more, a response closes its
+     * connection: to close one that looks idle can cross with the next request on it, which is then
+     * lost.
      */
     private static final double KEPT_PART = 0.5;
 
     /**
-     * Chosen: clients beyond the limit that are accepted in order to be rejected; with more,
-     * upstreams would lack descriptors.
+     * Clients beyond the limit that are accepted in order to be rejected; with more, upstreams
+     * would lack descriptors.
      */
     private static final int MAX_REJECTED_SESSIONS = 24;
 
     /**
-     * Chosen: memory of the pending requests of one connection, in bytes. Up to there a connection
-     * is read on, since its end is seen in no other way.
+     * Memory of the pending requests of one connection, in bytes. Up to there a connection is read
+     * on, since its end is seen in no other way.
      */
     private static final long MAX_PENDING_BYTES_PER_SESSION = 96 * 1024;
 
-    /** Chosen: the same of all connections. */
+    /** The same of all connections. */
     private static final long MAX_PENDING_BYTES = 4 * 1024 * 1024;
 
     private final int maxSessions;
--- a/src/main/java/myrtleladder/loadbalancer/server/DiscoveryCall.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/DiscoveryCall.java
@@ -21,7 +21,7 @@
 final class DiscoveryCall extends SimpleChannelInboundHandler<ByteBuf> {
     private static final System.Logger LOG = System.getLogger(DiscoveryCall.class.getName());
 
-    /** Longest line, and longest indented list, in bytes; chosen. */
+    /** Longest line, and longest indented list, in bytes. */
     static final int MAX_LIST_BYTES = 4 << 20;
 
     /** Receives what a call reads, on the event loop. */
--- a/src/main/java/myrtleladder/loadbalancer/server/DiscoveryClient.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/DiscoveryClient.java
@@ -30,12 +30,12 @@
     private static final String LIST_PATH = "/v1/servers";
 
     /**
-     * Chosen: a watch sends a line every 2 s; one from which none comes for longer may be
-     * partitioned, and its changes lost.
+     * A watch sends a line every 2 s; one from which none comes for longer may be partitioned, and
+     * its changes lost.
      */
     private static final long READ_TIMEOUT_MS = 3_000;
 
-    /** Chosen. */
+    /** Connect timeout, in milliseconds. */
     private static final int CONNECT_TIMEOUT_MS = 1_000;
 
     private final EventLoop loop;
--- a/src/main/java/myrtleladder/loadbalancer/server/EventLoopLag.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/EventLoopLag.java
@@ -14,10 +14,10 @@
  * <p>Confined to the event loop.
  */
 final class EventLoopLag {
-    /** Lag after which the ends of connections may be unread, in us. Chosen: 0.1 s are harmless. */
+    /** Lag after which the ends of connections may be unread, in us. 0.1 s are harmless. */
     private static final long LAGGING_US = 20_000;
 
-    /** Time after a lag until all that had waited in the sockets is read, in us. Chosen. */
+    /** Time after a lag until all that had waited in the sockets is read, in us. */
     private static final long RECOVERY_US = 100_000;
 
     /** Before any time of the clock, and far enough from overflow for differences. */
--- a/src/main/java/myrtleladder/loadbalancer/server/LoadBalancerBootstrap.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/LoadBalancerBootstrap.java
@@ -6,10 +6,10 @@
 
 /** Creates load balancers from their configuration, each confined to one event loop. */
 final class LoadBalancerBootstrap {
-    /** Chosen: file descriptors that the JVM itself needs, for jars, selector and log. */
+    /** File descriptors that the JVM itself needs, for jars, selector and log. */
     static final int RESERVED_DESCRIPTORS = 64;
 
-    /** Chosen: the part of the other descriptors for clients; upstreams have the rest. */
+    /** The part of the other descriptors for clients; upstreams have the rest. */
     private static final double CLIENT_PART = 0.75;
 
     private LoadBalancerBootstrap() {}
--- a/src/main/java/myrtleladder/loadbalancer/server/LoadBalancerServer.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/LoadBalancerServer.java
@@ -28,7 +28,7 @@
  */
 final class LoadBalancerServer {
     /*
-     * Sizes of one read in bytes, and reads of one connection in a turn of the loop; chosen. Reading
+     * Sizes of one read in bytes, and reads of one connection in a turn of the loop. Reading
      * stops only between two reads, and the codec closes a connection with 128 requests unanswered:
      * a read must not hold that many.
      */
@@ -45,7 +45,7 @@
     /** Reads of one connection in a turn of the loop. */
     private static final int MAX_READS_PER_TURN = 16;
 
-    /** Chosen: in a graceful shutdown idle connections are closed one by one, at this interval. */
+    /** In a graceful shutdown idle connections are closed one by one, at this interval. */
     private static final long IDLE_CLOSE_INTERVAL_MS = 1;
 
     private final EventLoop loop;
--- a/src/main/java/myrtleladder/loadbalancer/server/Main.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/Main.java
@@ -27,20 +27,19 @@
     /** The environment variable with the path of the configuration file. */
     private static final String CONFIG_VARIABLE = "NODE_CONFIG";
 
-    /** Chosen: with fewer next to none are left for clients and upstreams. */
+    /** With fewer next to none are left for clients and upstreams. */
     private static final int MIN_DESCRIPTORS = 2 * LoadBalancerBootstrap.RESERVED_DESCRIPTORS;
 
     /**
-     * Measured: the JVM with its classes, compiled code and a small heap has 59 MB resident when it
-     * is ready.
+     * The JVM with its classes, compiled code and a small heap has 59 MB resident when it is ready.
      */
     private static final int MIN_MEMORY_MB = 64;
 
     /**
-     * Chosen: a balancer of a larger group listens only after its warm-up run. From then on the
-     * machine takes connections, whose requests are to be answered here, and clients do better
-     * elsewhere. In a group as small as this there is hardly another balancer, and waiting a second
-     * here is better than being rejected.
+     * A balancer of a larger group listens only after its warm-up run. From then on the machine
+     * takes connections, whose requests are to be answered here, and clients do better elsewhere.
+     * In a group as small as this there is hardly another balancer, and waiting a second here is
+     * better than being rejected.
      */
     private static final int SMALL_GROUP_SIZE = 4;
 
--- a/src/main/java/myrtleladder/loadbalancer/server/ProbeSender.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/ProbeSender.java
@@ -24,7 +24,7 @@
 final class ProbeSender {
     private static final String LOAD_PATH = "/load";
 
-    /** Chosen: how long a probe may take; an upstream that hangs accepts it and never responds. */
+    /** How long a probe may take; an upstream that hangs accepts it and never responds. */
     private static final long PROBE_TIMEOUT_MS = 500;
 
     private final EventLoop loop;
--- a/src/main/java/myrtleladder/loadbalancer/server/ShutdownSchedule.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/ShutdownSchedule.java
@@ -11,21 +11,19 @@
     /** Given by the platform: a longer deadline counts as this one. */
     private static final long MAX_DEADLINE_MS = 3_000;
 
-    /** Chosen: all is answered so long before SIGKILL, since the loop may be late. */
+    /** All is answered so long before SIGKILL, since the loop may be late. */
     private static final long KILL_MARGIN_MS = 300;
 
-    /** Chosen: accepting ends so long before the last response; few requests take longer. */
+    /** Accepting ends so long before the last response; few requests take longer. */
     private static final long LAST_REQUESTS_MS = 500;
 
     /**
-     * Chosen: the same where others serve meanwhile; a shutdown that is late by half of this still
-     * loses nothing.
+     * The same where others serve meanwhile; a shutdown that is late by half of this still loses
+     * nothing.
      */
     private static final long LAST_REQUESTS_IN_GROUP_MS = 1_500;
 
-    /**
-     * Derived: new connections come for up to 0.4 s after SIGTERM, and a little later none waits.
-     */
+    /** New connections come for up to 0.4 s after SIGTERM, and a little later none waits. */
     private static final long MIN_ACCEPT_MS = 500;
 
     /**
--- a/src/main/java/myrtleladder/loadbalancer/server/Transport.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/Transport.java
@@ -58,7 +58,7 @@
         }
     };
 
-    /** Chosen: connections that the kernel holds until they are accepted. */
+    /** Connections that the kernel holds until they are accepted. */
     private static final int BACKLOG = 1024;
 
     /** A bootstrap for connections; the caller sets the handler. */
--- a/src/main/java/myrtleladder/loadbalancer/server/UpstreamConnectionPool.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/UpstreamConnectionPool.java
@@ -31,12 +31,12 @@
     static final int MAX_BODY_BYTES = 64 * 1024;
 
     /**
-     * Chosen: part of an upstream's idle timeout after which an idle connection is closed, so that
-     * no request is written to one that the upstream is closing.
+     * Part of an upstream's idle timeout after which an idle connection is closed, so that no
+     * request is written to one that the upstream is closing.
      */
     private static final double IDLE_TIMEOUT_PART = 0.6;
 
-    /** Chosen: interval between two checks for connections that have been idle too long. */
+    /** Interval between two checks for connections that have been idle too long. */
     private static final long IDLE_CHECK_INTERVAL_MS = 250;
 
     private final EventLoop loop;
--- a/src/main/java/myrtleladder/loadbalancer/server/Warmup.java
+++ b/src/main/java/myrtleladder/loadbalancer/server/Warmup.java
@@ -39,30 +39,30 @@
 final class Warmup {
     private static final System.Logger LOG = System.getLogger(Warmup.class.getName());
 
-    /** Chosen: number of client connections. */
+    /** Number of client connections. */
     private static final int CLIENTS = 16;
 
     /**
-     * Chosen: fewest requests. One on each connection is enough for every class of the common path
-     * to be loaded and linked, which is most of what a first request costs; the rest is compiled
-     * while it serves, for some milliseconds a request. Where many balancers share the traffic,
-     * that is cheaper than to be away longer.
+     * Fewest requests. One on each connection is enough for every class of the common path to be
+     * loaded and linked, which is most of what a first request costs; the rest is compiled while it
+     * serves, for some milliseconds a request. Where many balancers share the traffic, that is
+     * cheaper than to be away longer.
      */
     private static final int MIN_REQUESTS = CLIENTS;
 
-    /** Chosen: most requests. The few balancers of a small group have full load at once. */
+    /** Most requests. The few balancers of a small group have full load at once. */
     private static final int MAX_REQUESTS = 100;
 
-    /** Chosen: requests of all balancers of a group together, as far as the bounds allow. */
+    /** Requests of all balancers of a group together, as far as the bounds allow. */
     private static final int GROUP_REQUESTS = 400;
 
-    /** Chosen: longest run; a balancer that restarts should open cold rather than late. */
+    /** Longest run; a balancer that restarts should open cold rather than late. */
     private static final long MAX_DURATION_MS = 6_000;
 
-    /** Chosen: number of upstreams. */
+    /** Number of upstreams. */
     private static final int UPSTREAMS = 4;
 
-    /** Chosen: size of a body in bytes, and number of distinct affinity keys. */
+    /** Size of a body in bytes, and number of distinct affinity keys. */
     private static final int BODY_BYTES = 1_000;
 
     private static final int TIME_LEFT_MS = 1_000;
--- a/src/main/java/myrtleladder/loadbalancer/simulator/DecisionWriter.java
+++ b/src/main/java/myrtleladder/loadbalancer/simulator/DecisionWriter.java
@@ -16,7 +16,7 @@
 final class DecisionWriter {
     private static final JsonFactory JSON = new JsonFactory();
 
-    /** Chosen: room for most replies, in bytes. */
+    /** Room for most replies, in bytes. */
     private static final int INITIAL_REPLY_BYTES = 1 << 14;
 
     /** Decimal places of a microsecond in a number of seconds. */
--- a/src/main/java/myrtleladder/loadbalancer/simulator/EventReader.java
+++ b/src/main/java/myrtleladder/loadbalancer/simulator/EventReader.java
@@ -14,7 +14,7 @@
 
 /** Reads events from JSON. Fields that it does not know, and fields that are null, are skipped. */
 final class EventReader {
-    /** Chosen: most values of a load report that are read; the settings name no more. */
+    /** Most values of a load report that are read; the settings name no more. */
     private static final int MAX_LOAD_VALUES = 8;
 
     private static final Map<String, State> STATES =
--- a/src/main/java/myrtleladder/loadbalancer/simulator/LineReader.java
+++ b/src/main/java/myrtleladder/loadbalancer/simulator/LineReader.java
@@ -6,7 +6,7 @@
 
 /** Splits a stream into lines without making a string of each. Not safe for several threads. */
 final class LineReader {
-    /** Chosen: size of the buffer in bytes at first; it doubles for longer lines. */
+    /** Size of the buffer in bytes at first; it doubles for longer lines. */
     private static final int INITIAL_BUFFER_BYTES = 1 << 16;
 
     private final InputStream in;
--- a/src/main/java/myrtleladder/maintenance/CommandProposer.java
+++ b/src/main/java/myrtleladder/maintenance/CommandProposer.java
@@ -10,7 +10,7 @@
  * other, so a command that is proposed again and again would delay the others.
  */
 final class CommandProposer {
-    /** A command that had no effect for so long may be proposed again; chosen. */
+    /** A command that had no effect for so long may be proposed again. */
     private static final long RETRY_INTERVAL_US = 2_000_000;
 
     private final ConsensusNode consensus;
--- a/src/main/java/myrtleladder/maintenance/MaintenanceSettings.java
+++ b/src/main/java/myrtleladder/maintenance/MaintenanceSettings.java
@@ -23,19 +23,19 @@
         long longestMaintenanceUs) {
     private static final long PARTS_PER_MILLION = 1_000_000;
 
-    /** Added to the end of a lease for processing; chosen. */
+    /** Added to the end of a lease for processing. */
     private static final long LEASE_MARGIN_US = 50_000;
 
-    /** Default of {@code intervalUs}; chosen. */
+    /** Default of {@code intervalUs}. */
     private static final long DEFAULT_INTERVAL_US = 200_000;
 
-    /** Default of {@code leaseUs}; chosen. */
+    /** Default of {@code leaseUs}. */
     private static final long DEFAULT_LEASE_US = 1_500_000;
 
-    /** Default of {@code clockDriftPpm}; chosen. */
+    /** Default of {@code clockDriftPpm}. */
     private static final long DEFAULT_CLOCK_DRIFT_PPM = 1_000;
 
-    /** Default of {@code unreachableAfterUs}; chosen. */
+    /** Default of {@code unreachableAfterUs}. */
     private static final long DEFAULT_UNREACHABLE_AFTER_US = 3_000_000;
 
     /** The default settings. */
--- a/src/main/java/myrtleladder/maintenance/MaintenanceStateMachine.java
+++ b/src/main/java/myrtleladder/maintenance/MaintenanceStateMachine.java
@@ -23,13 +23,13 @@
  * <p>Not thread-safe: confined to the thread of the consensus node.
  */
 public class MaintenanceStateMachine implements StateMachine {
-    /** Failing upstreams reported with a command; chosen: with more, no plan allows anything. */
+    /** Failing upstreams reported with a command; with more, no plan allows anything. */
     public static final int MAX_FAILING_UPSTREAMS = 16;
 
-    /** Finished jobs that are kept; chosen. */
+    /** Finished jobs that are kept. */
     private static final int MAX_FINISHED_JOBS = 256;
 
-    /** Refused plans whose reason is kept; chosen. */
+    /** Refused plans whose reason is kept. */
     private static final int MAX_REFUSALS = 64;
 
     private final Map<String, MaintenanceJob> jobs = new LinkedHashMap<>();
--- a/src/main/java/myrtleladder/rpc/PeerClient.java
+++ b/src/main/java/myrtleladder/rpc/PeerClient.java
@@ -28,7 +28,7 @@
     /** Request target of all messages. */
     private static final String PATH = "/message";
 
-    /** Most idle connections to one address; further ones are closed. Chosen. */
+    /** Most idle connections to one address; further ones are closed. */
     private static final int MAX_IDLE_PER_ADDRESS = 4;
 
     private static final int STATUS_OK = 200;
--- a/src/main/java/myrtleladder/testbed/fault/FaultPlan.java
+++ b/src/main/java/myrtleladder/testbed/fault/FaultPlan.java
@@ -14,16 +14,16 @@
     /** A plan without faults. */
     public static final FaultPlan QUIET = new FaultPlan(List.of());
 
-    /** Largest step of a wall clock in a drawn plan, either way: one hour; chosen. */
+    /** Largest step of a wall clock in a drawn plan, either way: one hour. */
     private static final long MAX_CLOCK_STEP_US = 3_600_000_000L;
 
-    /** Largest drift of a steady clock in a drawn plan, either way; chosen. */
+    /** Largest drift of a steady clock in a drawn plan, either way. */
     private static final long MAX_DRIFT_PARTS_PER_MILLION = 200;
 
-    /** Bound, exclusive, of the delay of a link in a drawn plan; chosen. */
+    /** Bound, exclusive, of the delay of a link in a drawn plan. */
     private static final long DELAY_BOUND_US = 200_000;
 
-    /** Bound, exclusive, of the jitter of a link in a drawn plan; chosen. */
+    /** Bound, exclusive, of the jitter of a link in a drawn plan. */
     private static final long JITTER_BOUND_US = 100_000;
 
     /** One fault and its time, in microseconds from the start of the plan. */
