Let operators drain a zone and take it back at /drain/ZONE

The queue of ConfigurationRequestHandler becomes OperatorRequestQueue, which both handlers use; a StateChange carries what a replica stores. An order that changes nothing is acknowledged after the confirmation.

Polls tell the zones to balancers that send theirs along. The new fields are last in their messages and left out where they are empty: the bytes of the earlier program are read and written as before. The change of an earlier primary keeps the zones that a replica has.

--- a/src/main/java/myrtleladder/controlplane/CommittedConfiguration.java
+++ b/src/main/java/myrtleladder/controlplane/CommittedConfiguration.java
@@ -1,18 +1,21 @@
 package myrtleladder.controlplane;
 
+import java.util.List;
 import myrtleladder.configuration.Compression;
 import myrtleladder.configuration.Configuration;
 import myrtleladder.configuration.ConfigurationDocument;
 import myrtleladder.protocol.Snapshot;
 
 /**
- * The configuration that is committed as far as this node knows: all replicas of the view have it
- * on their disks. Generation 0 stands for none.
+ * The configuration and the drained zones that are committed as far as this node knows: all
+ * replicas of the view have them on their disks. Generation 0 stands for no configuration.
  *
- * <p>Confined to the event loop. {@link ConfigurationRequestHandler} alone updates it.
+ * <p>Confined to the event loop. {@link ConfigurationRequestHandler} and {@link
+ * DrainRequestHandler} update it, one request at a time.
  */
 final class CommittedConfiguration {
     private final Listener listener;
+    private final Runnable onUpdated;
     private Snapshot snapshot = new Snapshot();
 
     /** Is notified of configurations that are committed. */
@@ -21,8 +24,10 @@
         void configurationCommitted(Configuration configuration, boolean isFirst);
     }
 
-    CommittedConfiguration(Listener listener) {
+    /** Creates an empty one; {@code onUpdated} runs after each update, whatever it changed. */
+    CommittedConfiguration(Listener listener, Runnable onUpdated) {
         this.listener = listener;
+        this.onUpdated = onUpdated;
     }
 
     /** Takes over what the replica of a new primary has. */
@@ -40,6 +45,7 @@
         if (!isEmpty()) {
             listener.configurationCommitted(document().configuration(), isFirst);
         }
+        onUpdated.run();
     }
 
     /** Whether no configuration was ever committed. */
@@ -52,6 +58,11 @@
         return snapshot.generation;
     }
 
+    /** The names of the drained zones, in ascending order. */
+    List<String> drainedZones() {
+        return snapshot.drainedZones;
+    }
+
     /** Whether the change with this digest is among those that are remembered as committed. */
     boolean includesChange(String digest) {
         return snapshot.changeDigests.contains(digest);
--- a/src/main/java/myrtleladder/controlplane/ConfigurationRequest.java
+++ b/src/main/java/myrtleladder/controlplane/ConfigurationRequest.java
@@ -12,15 +12,14 @@
  * @param exchange the request, which is owed one response
  * @param digest identifies the request: two arrivals with the same method, {@code If-Match} and
  *     body have the same digest and are the same change
- * @param receivedAtMs when the request arrived, by the clock of the scheduler
  */
-record ConfigurationRequest(ServerExchange exchange, String digest, long receivedAtMs) {
+record ConfigurationRequest(ServerExchange exchange, String digest) {
     /** Bytes of the SHA-256 hash that are kept; stored digests have this length. Chosen. */
     private static final int DIGEST_BYTES = 16;
 
     /** Creates the request that an exchange carries. */
-    static ConfigurationRequest of(ServerExchange exchange, long receivedAtMs) {
-        return new ConfigurationRequest(exchange, digestOf(exchange), receivedAtMs);
+    static ConfigurationRequest of(ServerExchange exchange) {
+        return new ConfigurationRequest(exchange, digestOf(exchange));
     }
 
     private static String digestOf(ServerExchange exchange) {
--- a/src/main/java/myrtleladder/controlplane/ConfigurationRequestHandler.java
+++ b/src/main/java/myrtleladder/controlplane/ConfigurationRequestHandler.java
@@ -1,23 +1,21 @@
 package myrtleladder.controlplane;
 
-import java.util.ArrayDeque;
 import java.util.Map;
 import myrtleladder.configuration.Compression;
 import myrtleladder.configuration.ConfigurationDocument;
 import myrtleladder.configuration.Json;
 import myrtleladder.http.ServerExchange;
 import myrtleladder.replication.Replica;
-import myrtleladder.scheduler.Scheduler;
+import myrtleladder.replication.StateChange;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
- * Handles {@code GET}, {@code PUT} and {@code PATCH /config} on the primary, one request at a time.
- * The way of a change:
+ * Handles {@code GET}, {@code PUT} and {@code PATCH /config} on the primary. The way of a change:
  *
  * <ol>
- *   <li>it waits in the queue for its turn;
- *   <li>a majority confirms that this node is still primary ({@link Replica#confirm});
+ *   <li>it waits for its turn and for the confirmation that this node is still primary ({@link
+ *       OperatorRequestQueue});
  *   <li>it is checked against the committed configuration ({@link ChangeValidation});
  *   <li>all replicas of the view store it ({@link Replica#submit});
  *   <li>it becomes the {@link CommittedConfiguration}, whose listener hands it to the balancers
@@ -31,18 +29,12 @@
 final class ConfigurationRequestHandler {
     private static final Logger LOG = LogManager.getLogger(ConfigurationRequestHandler.class);
 
-    /** The longest that a request waits for its turn before it is answered with 503. Chosen. */
-    private static final long QUEUE_TIMEOUT_MS = 900;
-
-    private final Scheduler scheduler;
+    private final OperatorRequestQueue queue;
     private final CommittedConfiguration committed;
-    private final ArrayDeque<ConfigurationRequest> queue = new ArrayDeque<>();
     private Replica replica;
-    private boolean isPrimary;
-    private boolean isProcessing;
 
-    ConfigurationRequestHandler(Scheduler scheduler, CommittedConfiguration committed) {
-        this.scheduler = scheduler;
+    ConfigurationRequestHandler(OperatorRequestQueue queue, CommittedConfiguration committed) {
+        this.queue = queue;
         this.committed = committed;
     }
 
@@ -51,72 +43,22 @@
         replica = attached;
     }
 
-    /** This node became primary: it goes on from what its replica has. */
-    void onPrimacyGained() {
-        isPrimary = true;
-        isProcessing = false;
-        committed.recover(replica.snapshot());
-    }
-
-    /** This node is no longer primary: queued requests are sent to the next one. */
-    void onPrimacyLost() {
-        isPrimary = false;
-        isProcessing = false;
-        while (!queue.isEmpty()) {
-            HttpResponses.redirectToPrimary(queue.poll().exchange(), replica);
-        }
-    }
-
-    /** Answers requests that have waited too long and processes the next one. */
-    void tick(long nowMs) {
-        while (!queue.isEmpty() && nowMs - queue.peek().receivedAtMs() > QUEUE_TIMEOUT_MS) {
-            HttpResponses.unavailable(queue.poll().exchange());
-        }
-        processNext();
-    }
-
     /** Accepts a request. */
     void handle(ServerExchange exchange) {
-        if (!isPrimary) {
-            HttpResponses.redirectToPrimary(exchange, replica);
-            return;
-        }
-        queue.add(ConfigurationRequest.of(exchange, scheduler.now()));
-        processNext();
-    }
-
-    private void processNext() {
-        if (isProcessing || !isPrimary || queue.isEmpty() || replica.isBusy()) {
-            return;
-        }
-        isProcessing = true;
-        ConfigurationRequest request = queue.poll();
-        replica.confirm(
-                isConfirmed -> {
-                    if (isConfirmed) {
-                        process(request);
-                    } else {
-                        HttpResponses.unavailable(request.exchange());
-                        finish();
-                    }
-                });
-    }
-
-    private void finish() {
-        isProcessing = false;
-        processNext();
+        ConfigurationRequest request = ConfigurationRequest.of(exchange);
+        queue.add(exchange, onProcessed -> process(request, onProcessed));
     }
 
     /** Processes a request; a majority has confirmed since it arrived that this node is primary. */
-    private void process(ConfigurationRequest request) {
+    private void process(ConfigurationRequest request, Runnable onProcessed) {
         if (request.isRead()) {
             respondWithDocument(request.exchange());
-            finish();
+            onProcessed.run();
         } else if (request.isReplacement() || request.isPatch()) {
-            processChange(request);
+            processChange(request, onProcessed);
         } else {
             HttpResponses.empty(request.exchange(), HttpResponses.METHOD_NOT_ALLOWED);
-            finish();
+            onProcessed.run();
         }
     }
 
@@ -128,31 +70,31 @@
         }
     }
 
-    private void processChange(ConfigurationRequest request) {
+    private void processChange(ConfigurationRequest request, Runnable onProcessed) {
         ChangeValidation validation = ChangeValidation.of(request, committed);
         if (validation instanceof ChangeValidation.Valid valid) {
-            replicate(request, valid.next());
+            replicate(request, valid.next(), onProcessed);
         } else if (validation instanceof ChangeValidation.Rejected rejected) {
             HttpResponses.error(request.exchange(), rejected.status(), rejected.reason());
-            finish();
+            onProcessed.run();
         } else {
             acknowledge(request);
-            finish();
+            onProcessed.run();
         }
     }
 
-    private void replicate(ConfigurationRequest request, ConfigurationDocument next) {
+    private void replicate(
+            ConfigurationRequest request, ConfigurationDocument next, Runnable onProcessed) {
         replica.submit(
-                Compression.deflate(next.bytes()),
-                next.generation(),
-                request.digest(),
+                StateChange.toDocument(
+                        Compression.deflate(next.bytes()), next.generation(), request.digest()),
                 isCommitted -> {
                     if (isCommitted) {
                         commit(request);
                     } else {
                         HttpResponses.unavailable(request.exchange());
                     }
-                    finish();
+                    onProcessed.run();
                 });
     }
 
--- a/src/main/java/myrtleladder/controlplane/ControlPlane.java
+++ b/src/main/java/myrtleladder/controlplane/ControlPlane.java
@@ -29,6 +29,7 @@
 public final class ControlPlane implements Replica.Listener {
     private static final Logger LOG = LogManager.getLogger(ControlPlane.class);
     private static final String INSTANCES_PATH = "/instances/";
+    private static final String DRAIN_PATH = "/drain/";
 
     /** The interval of the periodic tasks. Chosen. */
     private static final long TICK_INTERVAL_MS = 100;
@@ -45,11 +46,13 @@
     private final BalancerRegistry balancers = new BalancerRegistry();
     private final FleetLoadExchange fleetLoads = new FleetLoadExchange();
     private final CommittedConfiguration configuration =
-            new CommittedConfiguration(this::configurationCommitted);
+            new CommittedConfiguration(this::configurationCommitted, this::committedStateUpdated);
     private final QuotaAllocator quotas;
     private final InstanceReplicator replicator;
     private final InstanceSaveScheduler saves;
+    private final OperatorRequestQueue operatorRequests;
     private final ConfigurationRequestHandler configurationRequests;
+    private final DrainRequestHandler drainRequests;
     private final InstanceRequestHandler instanceRequests;
     private final UpgradeRequestHandler upgradeRequests;
     private final StatusRequestHandler statusRequests;
@@ -90,7 +93,9 @@
                         configuration,
                         () -> hasHeardAllInstances(scheduler.now()));
         polls = new PollRequestHandler(scheduler, balancers, fleetLoads, pollResponses);
-        configurationRequests = new ConfigurationRequestHandler(scheduler, configuration);
+        operatorRequests = new OperatorRequestQueue(scheduler);
+        configurationRequests = new ConfigurationRequestHandler(operatorRequests, configuration);
+        drainRequests = new DrainRequestHandler(operatorRequests, configuration);
         instanceRequests =
                 new InstanceRequestHandler(
                         scheduler, instances, replicator, saves, polls, this::isConfirmedPrimary);
@@ -108,7 +113,9 @@
         replica = attached;
         replicator.attach(attached);
         saves.attach(attached);
+        operatorRequests.attach(attached);
         configurationRequests.attach(attached);
+        drainRequests.attach(attached);
         instanceRequests.attach(attached);
         upgradeRequests.attach(attached);
         statusRequests.attach(attached);
@@ -131,6 +138,8 @@
             configurationRequests.handle(exchange);
         } else if (path.startsWith(INSTANCES_PATH)) {
             instanceRequests.handle(exchange, path.substring(INSTANCES_PATH.length()));
+        } else if (path.startsWith(DRAIN_PATH)) {
+            drainRequests.handle(exchange, path.substring(DRAIN_PATH.length()));
         } else if (path.equals("/upgrade")) {
             upgradeRequests.handle(exchange);
         } else if (path.equals("/status")) {
@@ -166,21 +175,22 @@
         isPrimary = true;
         replicator.onPrimacyGained();
         instances.recover(inherited, scheduler.now());
-        configurationRequests.onPrimacyGained();
+        operatorRequests.onPrimacyGained();
+        configuration.recover(replica.snapshot());
         LOG.info(
                 "primary of epoch {} with generation {} and {} upstreams",
                 replica.epoch(),
                 configuration.generation(),
                 instances.all().size());
         polls.onPrimacyGained();
-        configurationRequests.tick(scheduler.now());
+        operatorRequests.tick(scheduler.now());
     }
 
     @Override
     public void onPrimacyLost() {
         isPrimary = false;
         replicator.onPrimacyLost();
-        configurationRequests.onPrimacyLost();
+        operatorRequests.onPrimacyLost();
         polls.onPrimacyLost();
     }
 
@@ -191,6 +201,9 @@
 
     private void configurationCommitted(Configuration committed, boolean isFirst) {
         quotas.configure(committed, isFirst, scheduler.now());
+    }
+
+    private void committedStateUpdated() {
         polls.sendUpdates();
     }
 
@@ -224,7 +237,7 @@
             assignOrdinals(nowMs);
         }
         polls.tick(nowMs);
-        configurationRequests.tick(nowMs);
+        operatorRequests.tick(nowMs);
     }
 
     private void expireInstances(long nowMs) {
--- /dev/null
+++ b/src/main/java/myrtleladder/controlplane/DrainRequestHandler.java
@@ -0,0 +1,80 @@
+package myrtleladder.controlplane;
+
+import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.regex.Pattern;
+import myrtleladder.http.ServerExchange;
+import myrtleladder.replication.Replica;
+import myrtleladder.replication.StateChange;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Handles {@code /drain/ZONE}: {@code POST} drains a zone, so that balancers send nothing new to
+ * its upstreams, and {@code DELETE} takes it back into service. An order is acknowledged once all
+ * replicas of the view have stored the drained zones; one that changes nothing is acknowledged
+ * without that. Where the outcome is not known the answer is 503.
+ *
+ * <p>Confined to the event loop.
+ */
+final class DrainRequestHandler {
+    private static final Logger LOG = LogManager.getLogger(DrainRequestHandler.class);
+    private static final Pattern ZONE_NAME = Pattern.compile("[A-Za-z0-9_.-]{1,100}");
+    private static final String DRAIN = "POST";
+    private static final String TAKE_BACK = "DELETE";
+
+    private final OperatorRequestQueue queue;
+    private final CommittedConfiguration committed;
+    private Replica replica;
+
+    DrainRequestHandler(OperatorRequestQueue queue, CommittedConfiguration committed) {
+        this.queue = queue;
+        this.committed = committed;
+    }
+
+    /** Sets the replica that stores the drained zones; has to precede all else. */
+    void attach(Replica attached) {
+        replica = attached;
+    }
+
+    /** Accepts a request about a zone. */
+    void handle(ServerExchange exchange, String zone) {
+        String method = exchange.head().method();
+        if (!ZONE_NAME.matcher(zone).matches()) {
+            HttpResponses.error(
+                    exchange, HttpResponses.BAD_REQUEST, "the zone's name is not a valid one");
+        } else if (method.equals(DRAIN) || method.equals(TAKE_BACK)) {
+            queue.add(exchange, onProcessed -> process(exchange, zone, onProcessed));
+        } else {
+            HttpResponses.empty(exchange, HttpResponses.METHOD_NOT_ALLOWED);
+        }
+    }
+
+    private void process(ServerExchange exchange, String zone, Runnable onProcessed) {
+        SortedSet<String> zones = new TreeSet<>(committed.drainedZones());
+        boolean isChange =
+                exchange.head().method().equals(DRAIN) ? zones.add(zone) : zones.remove(zone);
+        if (isChange) {
+            replicate(exchange, List.copyOf(zones), onProcessed);
+        } else {
+            HttpResponses.acknowledge(exchange);
+            onProcessed.run();
+        }
+    }
+
+    private void replicate(ServerExchange exchange, List<String> zones, Runnable onProcessed) {
+        replica.submit(
+                StateChange.toDrainedZones(replica.snapshot(), zones),
+                isCommitted -> {
+                    if (isCommitted) {
+                        committed.commit(replica.snapshot());
+                        LOG.info("drained zones are {} in epoch {}", zones, replica.epoch());
+                        HttpResponses.acknowledge(exchange);
+                    } else {
+                        HttpResponses.unavailable(exchange);
+                    }
+                    onProcessed.run();
+                });
+    }
+}
--- a/src/main/java/myrtleladder/controlplane/PollResponseBuilder.java
+++ b/src/main/java/myrtleladder/controlplane/PollResponseBuilder.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import myrtleladder.protocol.DrainedZones;
 import myrtleladder.protocol.Member;
 import myrtleladder.protocol.PollRequest;
 import myrtleladder.protocol.PollResponse;
@@ -59,10 +60,17 @@
     boolean hasUpdate(PollRequest request) {
         return request.epoch != replica.view().epoch
                 || request.generation < committed.generation()
+                || hasOtherDrainedZones(request)
                 || request.instanceRevision < instances.revision()
                 || (!request.hasAuthoritativeList && hasHeardAllInstances.getAsBoolean());
     }
 
+    /** A balancer that does not heed drained zones is not told of them time and again. */
+    private boolean hasOtherDrainedZones(PollRequest request) {
+        return request.drainedZones != null
+                && !request.drainedZones.names.equals(committed.drainedZones());
+    }
+
     /** The response to a poll; that of another node than the primary if that is in doubt. */
     PollResponse build(PollRequest request) {
         if (!replica.isRecentlyConfirmed()) {
@@ -74,6 +82,7 @@
         response.controlNodeAddresses = memberAddresses();
         response.epoch = replica.view().epoch;
         addConfiguration(response, request);
+        response.drainedZones = DrainedZones.of(committed.drainedZones());
         addInstances(response, request);
         response.fleetLoads =
                 fleetLoads.responseTo(request.loadReport, response.epoch, scheduler.now());
--- a/src/main/java/myrtleladder/protocol/PollRequest.java
+++ b/src/main/java/myrtleladder/protocol/PollRequest.java
@@ -49,4 +49,7 @@
 
     /** Load of the balancer, null if it does not report it. */
     public LoadReport loadReport;
+
+    /** The drained zones that the balancer has, null if it does not heed them. */
+    public DrainedZones drainedZones;
 }
--- a/src/main/java/myrtleladder/protocol/PollResponse.java
+++ b/src/main/java/myrtleladder/protocol/PollResponse.java
@@ -52,4 +52,7 @@
 
     /** Load of the other balancers, null if it is not known. */
     public FleetLoads fleetLoads;
+
+    /** The drained zones, null if the primary does not know them. */
+    public DrainedZones drainedZones;
 }
--- a/src/main/java/myrtleladder/replication/ChangeReplicator.java
+++ b/src/main/java/myrtleladder/replication/ChangeReplicator.java
@@ -44,19 +44,16 @@
     }
 
     /** Saves a change here and sends it to the other replicas; none may be in flight. */
-    void submit(
-            byte[] document, long generation, String changeDigest, Consumer<Boolean> onCommitted) {
+    void submit(StateChange stateChange, Consumer<Boolean> onCommitted) {
         View view = context.view();
-        Snapshot next =
-                context.storedState().snapshot.withChange(document, generation, changeDigest);
+        Snapshot next = stateChange.applyTo(context.storedState().snapshot);
         PendingChange change = new PendingChange(view.replicas.size(), onCommitted);
         pending = change;
         context.persistentState()
                 .save(
                         context.storedState().withSnapshot(next),
                         saved -> onReplicaAnswered(change, saved, context.self()));
-        ReplicateRequest request =
-                ReplicateRequest.of(view.epoch, document, generation, changeDigest);
+        ReplicateRequest request = stateChange.toRequest(view.epoch);
         for (Member member : view.replicas) {
             if (!context.isSelf(member)) {
                 send(change, request, member);
--- a/src/main/java/myrtleladder/replication/PrimaryState.java
+++ b/src/main/java/myrtleladder/replication/PrimaryState.java
@@ -142,8 +142,7 @@
     }
 
     /** Replicates a change; see {@link Replica#submit}. */
-    void submit(
-            byte[] document, long generation, String changeDigest, Consumer<Boolean> onCommitted) {
-        changeReplicator.submit(document, generation, changeDigest, onCommitted);
+    void submit(StateChange change, Consumer<Boolean> onCommitted) {
+        changeReplicator.submit(change, onCommitted);
     }
 }
--- a/src/main/java/myrtleladder/replication/Replica.java
+++ b/src/main/java/myrtleladder/replication/Replica.java
@@ -218,17 +218,14 @@
     /**
      * Submits a change.
      *
-     * @param generation the operator's number of the document
-     * @param changeDigest identifies the change request, so that a repeated one is known
      * @param onCommitted takes true once every replica has saved the change, false if the outcome
      *     is unknown: the change may take effect later or not; called once
      */
-    public void submit(
-            byte[] document, long generation, String changeDigest, Consumer<Boolean> onCommitted) {
+    public void submit(StateChange change, Consumer<Boolean> onCommitted) {
         if (!quorum.isPrimary() || quorum.primaryState().isChangeInFlight()) {
             onCommitted.accept(false);
         } else {
-            quorum.primaryState().submit(document, generation, changeDigest, onCommitted);
+            quorum.primaryState().submit(change, onCommitted);
         }
     }
 
--- /dev/null
+++ b/src/main/java/myrtleladder/replication/StateChange.java
@@ -0,0 +1,56 @@
+package myrtleladder.replication;
+
+import java.util.List;
+import myrtleladder.protocol.DrainedZones;
+import myrtleladder.protocol.ReplicateRequest;
+import myrtleladder.protocol.Snapshot;
+
+/**
+ * A change of the replicated state, with all that a replica has to know to carry it out.
+ *
+ * @param document the configuration after the change, as compressed JSON
+ * @param generation the operator's number of the document after the change
+ * @param changeDigest identifies the request for a change of the configuration, so that a repeated
+ *     one is known; empty for other changes
+ * @param drainedZones the drained zones after the change, in ascending order; null to keep those of
+ *     the state before
+ */
+public record StateChange(
+        byte[] document, long generation, String changeDigest, List<String> drainedZones) {
+    private static final String NO_DIGEST = "";
+
+    /** Returns the change to another configuration. */
+    public static StateChange toDocument(byte[] document, long generation, String changeDigest) {
+        return new StateChange(document, generation, changeDigest, null);
+    }
+
+    /** Returns the change of a state to other drained zones. */
+    public static StateChange toDrainedZones(Snapshot before, List<String> drainedZones) {
+        return new StateChange(before.document, before.generation, NO_DIGEST, drainedZones);
+    }
+
+    static StateChange of(ReplicateRequest request) {
+        DrainedZones zones = request.drainedZones;
+        return new StateChange(
+                request.document,
+                request.generation,
+                request.changeDigest,
+                zones == null ? null : zones.names);
+    }
+
+    /** Returns the request by which a primary sends this change to another replica. */
+    ReplicateRequest toRequest(long epoch) {
+        ReplicateRequest request = ReplicateRequest.of(epoch, document, generation, changeDigest);
+        request.drainedZones = drainedZones == null ? null : DrainedZones.of(drainedZones);
+        return request;
+    }
+
+    /** Returns the state that this change leads to. */
+    Snapshot applyTo(Snapshot before) {
+        Snapshot after =
+                changeDigest.equals(NO_DIGEST)
+                        ? Snapshot.of(document, generation, before.changeDigests)
+                        : before.withChange(document, generation, changeDigest);
+        return after.withDrainedZones(drainedZones == null ? before.drainedZones : drainedZones);
+    }
+}
--- a/src/main/java/myrtleladder/replication/VoterRequestHandler.java
+++ b/src/main/java/myrtleladder/replication/VoterRequestHandler.java
@@ -100,9 +100,7 @@
             return;
         }
         context.electionTimer().restart();
-        Snapshot next =
-                stored().snapshot
-                        .withChange(request.document, request.generation, request.changeDigest);
+        Snapshot next = StateChange.of(request).applyTo(stored().snapshot);
         saveAndAcknowledge(stored().withSnapshot(next), answer);
     }
 
--- a/src/test/java/myrtleladder/replication/VirtualCluster.java
+++ b/src/test/java/myrtleladder/replication/VirtualCluster.java
@@ -172,9 +172,7 @@
     private void submit(VirtualNode node, String digest) {
         long generation = node.replica.snapshot().generation + 1;
         node.replica.submit(
-                new byte[] {(byte) generation},
-                generation,
-                digest,
+                StateChange.toDocument(new byte[] {(byte) generation}, generation, digest),
                 committed -> {
                     if (committed) {
                         acknowledged.add(digest);
