Send nothing new to the upstreams of drained zones

Balancers sent requests to a zone after its evacuation was acknowledged, since they did not know of it. They take the drained zones from the answers to their polls. Upstreams there are not available: for first picks, retries and resumptions, for panic mode and where too few upstreams are ready. An attempt whose connection is still being opened is withdrawn, and its request goes elsewhere as if it had not been tried. What runs there ends there.

An answer of an earlier primary, which does not know the zones, changes nothing.

--- a/src/main/java/myrtleladder/dataplane/Attempt.java
+++ b/src/main/java/myrtleladder/dataplane/Attempt.java
@@ -24,9 +24,7 @@
         ENDED
     }
 
-    /**
-     * Receives the events of an attempt, each on the event loop; one of the last three is final.
-     */
+    /** Receives the events of an attempt, each on the event loop; one of the last four is final. */
     interface Listener {
         /** The head of the response has come. */
         void onResponseHead(Attempt attempt, ResponseHead head);
@@ -40,6 +38,9 @@
         /** No connection could be had and nothing was sent. */
         void onNotSent(Attempt attempt);
 
+        /** It was withdrawn before anything was sent, through no fault of the upstream. */
+        void onWithdrawn(Attempt attempt);
+
         /** The connection was lost before the response was complete; the request may have run. */
         void onConnectionLost(Attempt attempt);
     }
@@ -122,6 +123,14 @@
         isPromptRead = true;
     }
 
+    /** Ends the attempt if nothing was sent yet, since nothing may be sent to the upstream now. */
+    void withdrawIfUnsent() {
+        if (state == State.CONNECTING) {
+            cancel();
+            listener.onWithdrawn(this);
+        }
+    }
+
     /** Ends the attempt; the upstream drops the request with its connection. */
     void cancel() {
         if (state == State.ENDED) {
--- a/src/main/java/myrtleladder/dataplane/ControlPoller.java
+++ b/src/main/java/myrtleladder/dataplane/ControlPoller.java
@@ -12,6 +12,7 @@
 import myrtleladder.configuration.Configuration;
 import myrtleladder.configuration.Json;
 import myrtleladder.heartbeat.HeartbeatAgent;
+import myrtleladder.protocol.DrainedZones;
 import myrtleladder.protocol.LoadReport;
 import myrtleladder.protocol.Message;
 import myrtleladder.protocol.PollRequest;
@@ -182,6 +183,7 @@
         request.liveBalancers = heartbeatAgent.liveMembers();
         request.balancerListRevision = memberRevision;
         request.loadReport = dataPlane.fleetLoads().createReport();
+        request.drainedZones = DrainedZones.of(dataPlane.directory().drainedZones());
         request.inFlightAtDraining.addAll(dataPlane.directory().inFlightAtLeavingUpstreams());
         return request;
     }
@@ -265,6 +267,9 @@
                 response.authoritative || (hasAuthoritativeList && response.epoch == epoch);
         epoch = response.epoch;
         instanceRevision = response.instanceRevision;
+        if (response.drainedZones != null) {
+            dataPlane.directory().applyDrainedZones(response.drainedZones.names);
+        }
         dataPlane
                 .directory()
                 .applyRecords(
--- a/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
+++ b/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
@@ -218,6 +218,16 @@
         }
     }
 
+    @Override
+    public void onWithdrawn(Attempt attempt) {
+        if (attempt != current) {
+            return;
+        }
+        current = null;
+        triedUpstreams.remove(attempt.upstream());
+        tryNextUpstream();
+    }
+
     @Override
     public void onResponseHead(Attempt attempt, ResponseHead head) {
         if (attempt != current) {
--- a/src/main/java/myrtleladder/dataplane/Upstream.java
+++ b/src/main/java/myrtleladder/dataplane/Upstream.java
@@ -1,6 +1,7 @@
 package myrtleladder.dataplane;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import myrtleladder.configuration.Service;
 import myrtleladder.loadbalancer.policy.EarliestDeadlineFirstScheduler;
@@ -104,6 +105,11 @@
         attempts.remove(attempt);
     }
 
+    /** Ends the attempts of which nothing was sent yet; their requests go elsewhere. */
+    void withdrawUnsentAttempts() {
+        List.copyOf(attempts).forEach(Attempt::withdrawIfUnsent);
+    }
+
     /** Requests of this balancer in flight there. */
     int ownRequests() {
         return attempts.size();
--- a/src/main/java/myrtleladder/dataplane/UpstreamDirectory.java
+++ b/src/main/java/myrtleladder/dataplane/UpstreamDirectory.java
@@ -20,7 +20,8 @@
 
 /**
  * The upstreams that this balancer knows, by service. An incarnation that drains or is gone never
- * comes back. Confined to the event loop.
+ * comes back; those of a drained zone take requests again once the zone is taken back. Confined to
+ * the event loop.
  */
 final class UpstreamDirectory {
     /** Incarnations remembered as left; all are forgotten when there are more; chosen. */
@@ -30,6 +31,7 @@
     private final Map<String, List<Upstream>> availableByService = new HashMap<>();
     private final Set<String> leftIds = new HashSet<>();
     private final Set<Upstream> leavingUpstreams = new LinkedHashSet<>();
+    private List<String> drainedZones = List.of();
     private final Consumer<Upstream> onLeft;
     private Configuration configuration;
 
@@ -131,13 +133,41 @@
         return inFlight;
     }
 
-    /** Leaves out upstreams that are not ready, unless less than half of a service would remain. */
+    /** The drained zones that were applied last. */
+    List<String> drainedZones() {
+        return drainedZones;
+    }
+
+    /** Takes the drained zones; what was not sent to their upstreams yet goes elsewhere. */
+    void applyDrainedZones(List<String> zones) {
+        if (zones.equals(drainedZones)) {
+            return;
+        }
+        drainedZones = List.copyOf(zones);
+        updateAvailable();
+        for (Upstream upstream : List.copyOf(byId.values())) {
+            if (isDrained(upstream)) {
+                upstream.withdrawUnsentAttempts();
+            }
+        }
+    }
+
+    private boolean isDrained(Upstream upstream) {
+        return drainedZones.contains(upstream.record().zone);
+    }
+
+    /**
+     * Leaves out the upstreams of drained zones, and of the others those that are not ready unless
+     * less than half of a service would remain.
+     */
     private void updateAvailable() {
         availableByService.clear();
         Map<String, List<Upstream>> all = new HashMap<>();
         for (Upstream upstream : byId.values()) {
-            String service = upstream.record().service;
-            all.computeIfAbsent(service, name -> new ArrayList<>()).add(upstream);
+            if (!isDrained(upstream)) {
+                String service = upstream.record().service;
+                all.computeIfAbsent(service, name -> new ArrayList<>()).add(upstream);
+            }
         }
         all.forEach(
                 (service, upstreams) -> {
--- a/src/test/java/myrtleladder/dataplane/ControlPollerTest.java
+++ b/src/test/java/myrtleladder/dataplane/ControlPollerTest.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import myrtleladder.configuration.Compression;
 import myrtleladder.heartbeat.HeartbeatAgent;
+import myrtleladder.protocol.DrainedZones;
 import myrtleladder.protocol.Message;
 import myrtleladder.protocol.PollRequest;
 import myrtleladder.protocol.PollResponse;
@@ -154,6 +155,20 @@
         assertTrue(List.of("b:1", "c:1").contains(lastPolledNode()));
     }
 
+    @Test
+    void drainedZonesAreAppliedAndKeptWhenAnEarlierPrimaryDoesNotKnowThem() {
+        PollResponse draining = response(3, 7);
+        draining.drainedZones = DrainedZones.of(List.of("z"));
+        pendingCallback.accept(draining);
+        assertEquals(List.of("z"), polls.get(polls.size() - 1).drainedZones.names);
+        pendingCallback.accept(response(4, 7));
+        assertEquals(List.of("z"), dataPlane.directory().drainedZones());
+        PollResponse takenBack = response(4, 7);
+        takenBack.drainedZones = DrainedZones.of(List.of());
+        pendingCallback.accept(takenBack);
+        assertEquals(List.of(), dataPlane.directory().drainedZones());
+    }
+
     @Test
     void backupRedirectsToThePrimary() {
         PollResponse other = new PollResponse();
