--- a/src/test/java/myrtleladder/controlplane/model/FaultSchedule.java
+++ b/src/test/java/myrtleladder/controlplane/model/FaultSchedule.java
@@ -63,6 +63,7 @@
         if (cluster.history.violations().isEmpty()) {
             cluster.operators.forEach(o -> o.loseAcknowledgements(0));
             cluster.expectAcknowledgement(RECOVERY_TIMEOUT_MS, "after all");
+            cluster.expectDrain(RECOVERY_TIMEOUT_MS, "after all");
             cluster.expectAllAreMembers("after all");
         }
     }
--- a/src/test/java/myrtleladder/controlplane/model/HistoryChecker.java
+++ b/src/test/java/myrtleladder/controlplane/model/HistoryChecker.java
@@ -22,10 +22,13 @@
     private final Set<String> shownChanges = new HashSet<>();
     private final Map<Long, String> primaryByEpoch = new HashMap<>();
     private final Map<String, Long> departedAtMs = new HashMap<>();
+    private final Map<String, Long> drainedAtMs = new HashMap<>();
+    private final Map<String, Long> takenBackAtMs = new HashMap<>();
     private long newestAcknowledged;
     private long lastAcknowledgedAtMs;
     private int acknowledgementCount;
     private int departureCount;
+    private int drainCount;
 
     /** The first violations, in plain text. */
     List<String> violations() {
@@ -59,6 +62,11 @@
         return acknowledgementCount + departureCount;
     }
 
+    /** How many acknowledgements of drained zones were received. */
+    int drainCount() {
+        return drainCount;
+    }
+
     /** Records that a change is sent for the first time. */
     void recordSent(OperatorChange change) {
         generationByChange.put(change.name(), change.generation());
@@ -137,4 +145,36 @@
                             + " ms");
         }
     }
+
+    /** Records that an operator has received the acknowledgement that a zone is drained. */
+    void recordDrained(String zone, long nowMs) {
+        drainedAtMs.put(zone, nowMs);
+        drainCount++;
+    }
+
+    /** Records that a zone is ordered to be taken back: from now on it may be drained or not. */
+    void recordTakeBackSent(String zone) {
+        drainedAtMs.remove(zone);
+    }
+
+    /** Records that an operator has received the acknowledgement that a zone is taken back. */
+    void recordTakenBack(String zone, long nowMs) {
+        takenBackAtMs.put(zone, nowMs);
+    }
+
+    /** Checks the drained zones that the response to a poll, sent at the given time, showed. */
+    void checkDrainedZones(List<String> shown, long sentAtMs, long allowanceMs, String where) {
+        drainedAtMs.forEach(
+                (zone, drainedMs) -> {
+                    if (sentAtMs > drainedMs + allowanceMs && !shown.contains(zone)) {
+                        addViolation(where + " shows " + shown + " without " + zone);
+                    }
+                });
+        for (String zone : shown) {
+            Long takenBackMs = takenBackAtMs.get(zone);
+            if (takenBackMs != null && sentAtMs > takenBackMs + allowanceMs) {
+                addViolation(where + " shows " + zone + ", which was taken back");
+            }
+        }
+    }
 }
--- a/src/test/java/myrtleladder/controlplane/model/MessageForger.java
+++ b/src/test/java/myrtleladder/controlplane/model/MessageForger.java
@@ -129,7 +129,9 @@
             replicate.changeDigest = "forgotten";
         } else if (message instanceof InstallStateRequest install) {
             Snapshot snapshot = install.snapshot;
-            install.snapshot = Snapshot.of(snapshot.document, snapshot.generation, List.of());
+            install.snapshot =
+                    Snapshot.of(snapshot.document, snapshot.generation, List.of())
+                            .withDrainedZones(snapshot.drainedZones);
         }
     }
 }
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedBalancer.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedBalancer.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import myrtleladder.configuration.Compression;
 import myrtleladder.protocol.CachedPrompt;
+import myrtleladder.protocol.DrainedZones;
 import myrtleladder.protocol.FleetLoads;
 import myrtleladder.protocol.InstanceRecord;
 import myrtleladder.protocol.InstanceRecord.Stage;
@@ -30,6 +31,7 @@
     private long generation;
     private long revision;
     private boolean complete;
+    private List<String> drainedZones = List.of();
     private long newestWhenSent;
     private long reportCount;
     private long fleetEpoch;
@@ -53,6 +55,7 @@
         poll.instanceRevision = revision;
         poll.hasAuthoritativeList = complete;
         poll.loadReport = loadReport();
+        poll.drainedZones = DrainedZones.of(drainedZones);
         long sentAtMs = cluster.clock.now();
         newestWhenSent = cluster.history.newestAcknowledged();
         FirstResponse first = new FirstResponse(response -> handle(sentAtMs, response));
@@ -115,6 +118,9 @@
             cluster.history.checkShown(OperatorChange.nameIn(document), response.generation, name);
             generation = response.generation;
         }
+        drainedZones = response.drainedZones.names;
+        cluster.history.checkDrainedZones(
+                drainedZones, sentAtMs, SimulatedCluster.MAX_POLL_STALENESS_MS, name);
         if (sentAtMs
                 > cluster.history.lastAcknowledgedAtMs() + SimulatedCluster.MAX_POLL_STALENESS_MS) {
             cluster.history.checkNotOlder(generation, newestWhenSent, "poll of " + name);
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedCluster.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedCluster.java
@@ -116,6 +116,7 @@
             operator.startChange();
         }
         new SimulatedReader(this).read();
+        new SimulatedEvacuator(this).drainNext();
         for (int i = 0; i < UPSTREAM_COUNT; i++) {
             new SimulatedUpstream(this, "u" + i).start();
         }
@@ -273,6 +274,18 @@
         }
     }
 
+    /** Checks that the order to drain a zone is acknowledged within a time. */
+    void expectDrain(long timeoutMs, String situation) {
+        int before = history.drainCount();
+        long endMs = clock.now() + timeoutMs;
+        while (clock.now() < endMs && history.drainCount() == before) {
+            clock.run(100);
+        }
+        if (history.drainCount() == before) {
+            history.addViolation("no zone is drained " + situation + ": " + nodes);
+        }
+    }
+
     /** Checks that there is a primary and that all nodes are members of its view. */
     void expectAllAreMembers(String situation) {
         SimulatedNode leader = leader();
