--- a/src/main/java/myrtleladder/controlplane/package-info.java
+++ b/src/main/java/myrtleladder/controlplane/package-info.java
@@ -3,10 +3,12 @@
  *
  * <p>The way of a configuration change: {@link
  * myrtleladder.controlplane.ConfigurationRequestHandler} takes the HTTP request, {@link
+ * myrtleladder.controlplane.OperatorRequestQueue} lets it wait for its turn, {@link
  * myrtleladder.controlplane.ChangeValidation} checks it, {@link myrtleladder.replication.Replica}
  * stores it at all replicas of the view, {@link myrtleladder.controlplane.CommittedConfiguration}
  * makes it the one in force, {@link myrtleladder.controlplane.PollRequestHandler} answers the long
- * polls of balancers with it, and the operator gets the acknowledgement.
+ * polls of balancers with it, and the operator gets the acknowledgement. Orders to drain a zone go
+ * the same way from {@link myrtleladder.controlplane.DrainRequestHandler} on.
  *
  * <p>The way of a heartbeat or a departure: {@link
  * myrtleladder.controlplane.InstanceRequestHandler} takes it, {@link
