Add the message in which a node stores additions to tallies

The log of the tallies needs a content that later programs can extend, so it is a message like the stored state: type byte 19, the next after the last.

--- a/src/main/java/myrtleladder/protocol/MessageCodec.java
+++ b/src/main/java/myrtleladder/protocol/MessageCodec.java
@@ -29,7 +29,8 @@
                     QuotaResponse.class,
                     BalancerHeartbeat.class,
                     LeaveRequest.class,
-                    LeaveResponse.class);
+                    LeaveResponse.class,
+                    TallyBatch.class);
 
     /** Bytes of a buffer of the encoder, which adds further ones as needed. Chosen. */
     private static final int BUFFER_BYTES = 1_024;
--- a/src/test/java/myrtleladder/protocol/SampleMessages.java
+++ b/src/test/java/myrtleladder/protocol/SampleMessages.java
@@ -31,6 +31,7 @@
         all.put("alive", BalancerHeartbeat.of("edge-16"));
         all.put("leave", LeaveRequest.of(member("leaver")));
         all.put("leave-reply", LeaveResponse.of(true, view(118)));
+        all.put("tally-batch", tallyBatch());
         return all;
     }
 
@@ -56,9 +57,17 @@
         all.put("alive", new BalancerHeartbeat());
         all.put("leave", new LeaveRequest());
         all.put("leave-reply", new LeaveResponse());
+        all.put("tally-batch", new TallyBatch());
         return all;
     }
 
+    private static TallyBatch tallyBatch() {
+        return TallyBatch.of(
+                List.of(
+                        TallyAddition.of("replica-1", 119, "tally-1", "id-1", 1_019),
+                        TallyAddition.of("replica-2", 120, "tally-2", "id-2", 1_020)));
+    }
+
     static Member member(String name) {
         return Member.of(name + ":1", name + ":2", "store-" + name);
     }
