Add the messages in which control nodes exchange additions to tallies

The types follow that of the log's batch, so the first byte without a type is now 22. The golden files of the new messages stand beside the others, which are unchanged.

--- a/src/main/java/myrtleladder/protocol/MessageCodec.java
+++ b/src/main/java/myrtleladder/protocol/MessageCodec.java
@@ -30,7 +30,9 @@
                     BalancerHeartbeat.class,
                     LeaveRequest.class,
                     LeaveResponse.class,
-                    TallyBatch.class);
+                    TallyBatch.class,
+                    TallySyncRequest.class,
+                    TallySyncResponse.class);
 
     /** Bytes of a buffer of the encoder, which adds further ones as needed. Chosen. */
     private static final int BUFFER_BYTES = 1_024;
--- a/src/test/java/myrtleladder/protocol/MessageCompatibilityTest.java
+++ b/src/test/java/myrtleladder/protocol/MessageCompatibilityTest.java
@@ -54,7 +54,9 @@
         List<Integer> types = new ArrayList<>();
         SampleMessages.filled().values().forEach(m -> types.add((int) MessageCodec.encode(m)[0]));
         assertEquals(
-                List.of(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19),
+                List.of(
+                        0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20,
+                        21),
                 types);
     }
 
@@ -62,7 +64,7 @@
     void theByteAfterTheLastTypeIsRefused() {
         MessageFormatException refused =
                 assertThrows(
-                        MessageFormatException.class, () -> MessageCodec.decode(new byte[] {20}));
+                        MessageFormatException.class, () -> MessageCodec.decode(new byte[] {22}));
         assertEquals(ResultCode.BAD_MESSAGE, refused.code());
     }
 
--- a/src/test/java/myrtleladder/protocol/SampleMessages.java
+++ b/src/test/java/myrtleladder/protocol/SampleMessages.java
@@ -32,6 +32,8 @@
         all.put("leave", LeaveRequest.of(member("leaver")));
         all.put("leave-reply", LeaveResponse.of(true, view(118)));
         all.put("tally-batch", tallyBatch());
+        all.put("tally-sync", tallySync());
+        all.put("tally-sync-reply", TallySyncResponse.of(summary(126), tallyBatch().additions));
         return all;
     }
 
@@ -58,6 +60,8 @@
         all.put("leave", new LeaveRequest());
         all.put("leave-reply", new LeaveResponse());
         all.put("tally-batch", new TallyBatch());
+        all.put("tally-sync", new TallySyncRequest());
+        all.put("tally-sync-reply", new TallySyncResponse());
         return all;
     }
 
@@ -68,6 +72,23 @@
                         TallyAddition.of("replica-2", 120, "tally-2", "id-2", 1_020)));
     }
 
+    private static TallySyncRequest tallySync() {
+        List<TallyPosition> awaited = List.of(TallyPosition.of("replica-4", 123));
+        TallySyncRequest sync =
+                TallySyncRequest.push(summary(121), tallyBatch().additions, awaited);
+        sync.maxAdditions = 124;
+        return sync;
+    }
+
+    private static TallyStateSummary summary(long sequence) {
+        return TallyStateSummary.of(
+                "node:1",
+                "zone-1",
+                "process-1",
+                List.of(TallyPosition.of("replica-3", sequence)),
+                List.of(TallyPosition.of("replica-3", sequence - 1)));
+    }
+
     static Member member(String name) {
         return Member.of(name + ":1", name + ":2", "store-" + name);
     }
