Merge additions to tallies by dots, without I/O

A tally is a grow-only set of additions. Each has a dot, the identity of the process that took it and a number without gaps, so that a version vector says what a node has; the same id in several dots counts once. Nodes pull from each other what their vector lacks, and push a new addition to as many peers as it needs copies: one disk more than may be lost, one zone more than may be lost, as far as this node reaches that many. A node that starts serves once it has what the peers that answer had.

--- /dev/null
+++ b/src/main/java/myrtleladder/tally/DurabilityRule.java
@@ -0,0 +1,49 @@
+package myrtleladder.tally;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Decides whether an addition is durable enough to be acknowledged: on one disk more than may be
+ * lost at one time and in one zone more than may be lost, as far as this node reaches that many. So
+ * a node that reaches nobody relies on its own disk. Confined to the event loop.
+ */
+final class DurabilityRule {
+    private final TallyOptions options;
+    private final TallyPeers peers;
+    private final DurableAdditions own;
+
+    DurabilityRule(TallyOptions options, TallyPeers peers, DurableAdditions own) {
+        this.options = options;
+        this.peers = peers;
+        this.own = own;
+    }
+
+    /** Returns the number of disks that an addition has to be on if enough nodes are reachable. */
+    int fullNodeCount() {
+        return options.toleratedMachines() + 1;
+    }
+
+    /** Returns whether an addition is durable enough. */
+    boolean isSatisfied(String replica, long sequence) {
+        List<TallyPeer> reachable = peers.reachable();
+        Set<String> reachableZones = new HashSet<>(Set.of(options.zone()));
+        Set<String> durableZones = new HashSet<>();
+        int durableNodes = 0;
+        if (own.vector().includes(replica, sequence)) {
+            durableNodes++;
+            durableZones.add(options.zone());
+        }
+        for (TallyPeer peer : reachable) {
+            reachableZones.add(peer.zone());
+            if (peer.durable().includes(replica, sequence)) {
+                durableNodes++;
+                durableZones.add(peer.zone());
+            }
+        }
+        int requiredNodes = Math.min(fullNodeCount(), 1 + reachable.size());
+        int requiredZones = Math.min(options.toleratedZones() + 1, reachableZones.size());
+        return durableNodes >= requiredNodes && durableZones.size() >= requiredZones;
+    }
+}
--- /dev/null
+++ b/src/main/java/myrtleladder/tally/Tallies.java
@@ -0,0 +1,268 @@
+package myrtleladder.tally;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import myrtleladder.protocol.Message;
+import myrtleladder.protocol.TallyAddition;
+import myrtleladder.protocol.TallyStateSummary;
+import myrtleladder.protocol.TallySyncRequest;
+import myrtleladder.protocol.TallySyncResponse;
+import myrtleladder.replication.Peers;
+import myrtleladder.scheduler.Scheduler;
+
+/**
+ * The tallies on one node: named sums of additions, each of which counts once for its id. Every
+ * node accepts additions, on either side of a partition, and all nodes that reach each other come
+ * to the same sums (a state-based grow-only set, merged by dots).
+ *
+ * <p>Entry point of the package. Confined to the event loop of the scheduler, which also runs all
+ * callbacks.
+ */
+public final class Tallies {
+    /** Additions beyond which no new ids are accepted; those of other nodes are still merged. */
+    private static final int MAX_ADDITIONS = 200_000;
+
+    /** How long an exchange waits for this node's disk at most, in milliseconds. */
+    private static final long SYNC_WAIT_MS = 500;
+
+    /** A longer time between two looks at the peers means that the process was suspended. */
+    private static final long SUSPENSION_MS = 2 * AntiEntropy.INTERVAL_MS;
+
+    private final TallyOptions options;
+    private final Scheduler scheduler;
+    private final TallySet additions = new TallySet();
+    private final DurableAdditions durable;
+    private final TallyPeers peers;
+    private final CatchUp catchUp;
+    private final PendingAdditions pending;
+    private final AntiEntropy antiEntropy;
+    private Supplier<? extends Collection<String>> memberAddresses = List::of;
+    private boolean isStarted;
+    private long lastLookMs;
+    private long acknowledgedCount;
+    private long uncertainCount;
+    private long refusedCount;
+    private long reachabilityChangeCount;
+
+    /**
+     * Creates the tallies of a node; {@link #start} lets it take part.
+     *
+     * @param onDisk the additions that the disk held at the start, those of a replica in order
+     */
+    public Tallies(
+            TallyOptions options,
+            Scheduler scheduler,
+            Peers transport,
+            TallyStorage storage,
+            List<TallyAddition> onDisk) {
+        this.options = options;
+        this.scheduler = scheduler;
+        peers = new TallyPeers(options.address());
+        durable = new DurableAdditions(scheduler, storage, this::checkProgress);
+        durable.recover(additions.merge(onDisk));
+        catchUp = new CatchUp(additions, peers, onDisk.isEmpty() && !options.bootstrap());
+        ExchangeListener listener = new ExchangeListener();
+        AdditionPusher pusher =
+                new AdditionPusher(scheduler, transport, peers, additions, this::summary, listener);
+        DurabilityRule rule = new DurabilityRule(options, peers, durable);
+        pending = new PendingAdditions(scheduler, options, peers, rule, pusher);
+        antiEntropy = new AntiEntropy(scheduler, transport, peers, this::summary, listener);
+    }
+
+    /**
+     * Starts to take part. Called once.
+     *
+     * @param members supplies the internal addresses of the nodes of the group at each time
+     */
+    public void start(Supplier<? extends Collection<String>> members) {
+        memberAddresses = members;
+        isStarted = true;
+        lastLookMs = scheduler.now();
+        updatePeers();
+        catchUp.start(List.copyOf(peers.all()));
+        scheduler.schedule(AntiEntropy.INTERVAL_MS, this::lookAtPeers);
+    }
+
+    private void lookAtPeers() {
+        scheduler.schedule(AntiEntropy.INTERVAL_MS, this::lookAtPeers);
+        long nowMs = scheduler.now();
+        if (nowMs - lastLookMs > SUSPENSION_MS) {
+            peers.all().forEach(TallyPeer::forgiveSilence);
+        }
+        lastLookMs = nowMs;
+        updatePeers();
+    }
+
+    private void updatePeers() {
+        Set<String> addresses = new LinkedHashSet<>(options.seeds());
+        addresses.addAll(memberAddresses.get());
+        peers.update(addresses, scheduler.now()).forEach(antiEntropy::begin);
+    }
+
+    /**
+     * Adds to a tally, once for each id however often and wherever it is added.
+     *
+     * @param amount what is added; not negative
+     * @param done takes the result; called once
+     */
+    public void add(String tally, String id, long amount, Consumer<AdditionResult> done) {
+        TallyAddition known = additions.find(tally, id);
+        if (!catchUp.isDone() || (known == null && additions.size() >= MAX_ADDITIONS)) {
+            refusedCount++;
+            done.accept(AdditionResult.REFUSED);
+            return;
+        }
+        TallyAddition addition = known == null ? create(tally, id, amount) : known;
+        pending.await(
+                addition.replica,
+                addition.sequence,
+                result -> {
+                    count(result);
+                    done.accept(result);
+                });
+    }
+
+    private TallyAddition create(String tally, String id, long amount) {
+        long sequence = additions.vector().get(options.process()) + 1;
+        TallyAddition created = TallyAddition.of(options.process(), sequence, tally, id, amount);
+        merge(List.of(created));
+        return created;
+    }
+
+    private void merge(List<TallyAddition> received) {
+        List<TallyAddition> added = additions.merge(received);
+        if (!added.isEmpty()) {
+            durable.append(added);
+        }
+    }
+
+    private void count(AdditionResult result) {
+        if (result == AdditionResult.ACKNOWLEDGED) {
+            acknowledgedCount++;
+        } else {
+            uncertainCount++;
+        }
+    }
+
+    /** Returns the sum of a tally, 0 for an unknown name; empty until this node has caught up. */
+    public OptionalLong total(String tally) {
+        return catchUp.isDone() ? OptionalLong.of(additions.total(tally)) : OptionalLong.empty();
+    }
+
+    /**
+     * Handles an exchange of another node.
+     *
+     * @param answer takes the response, null if there is to be none; called once
+     */
+    public void receive(TallySyncRequest request, Consumer<Message> answer) {
+        if (!isStarted || request.sender.address.equals(options.address())) {
+            answer.accept(null);
+            return;
+        }
+        learnSender(request.sender);
+        merge(request.additions);
+        if (request.awaited.isEmpty()) {
+            VersionVector known = VersionVector.of(request.sender.known);
+            List<TallyAddition> missing = additions.missingFrom(known, request.maxAdditions);
+            answer.accept(TallySyncResponse.of(summary(), missing));
+        } else {
+            answerOnceDurable(VersionVector.of(request.awaited), answer);
+        }
+        checkProgress();
+    }
+
+    private void learnSender(TallyStateSummary sender) {
+        if (peers.isNew(sender.address)) {
+            antiEntropy.begin(peers.add(sender.address, scheduler.now()));
+        }
+        peers.get(sender.address).learn(sender);
+    }
+
+    private void answerOnceDurable(VersionVector awaited, Consumer<Message> answer) {
+        Runnable respond = () -> answer.accept(TallySyncResponse.of(summary(), List.of()));
+        if (additions.vector().includes(awaited)) {
+            durable.whenDurable(awaited, SYNC_WAIT_MS, respond);
+        } else {
+            respond.run();
+        }
+    }
+
+    private TallyStateSummary summary() {
+        return TallyStateSummary.of(
+                options.address(),
+                options.zone(),
+                options.process(),
+                additions.vector().toPositions(),
+                durable.vector().positionsBehind(additions.vector()));
+    }
+
+    private void checkProgress() {
+        pending.check();
+        catchUp.check();
+    }
+
+    /** Returns figures for operators. */
+    public TallyFigures figures() {
+        Map<String, TallyFigures.Peer> peerFigures = new LinkedHashMap<>();
+        for (TallyPeer peer : peers.all()) {
+            peerFigures.put(
+                    peer.address(),
+                    new TallyFigures.Peer(
+                            peer.reachability().name(),
+                            peer.zone(),
+                            peer.known().countMissing(additions.vector()),
+                            additions.vector().countMissing(peer.known())));
+        }
+        return new TallyFigures(
+                catchUp.isDone(),
+                additions.tallyCount(),
+                additions.size(),
+                durable.unsyncedCount(),
+                durable.failureCount(),
+                pending.size(),
+                acknowledgedCount,
+                uncertainCount,
+                refusedCount,
+                reachabilityChangeCount,
+                peerFigures);
+    }
+
+    /** Takes the outcome of exchanges that this node began. */
+    private final class ExchangeListener implements AntiEntropy.Listener, AdditionPusher.Listener {
+        @Override
+        public void onAnswered(TallyPeer peer, TallySyncResponse response) {
+            peer.learn(response.sender);
+            countChange(peer.onAnswered(scheduler.now()));
+            catchUp.onAnswered(peer);
+            merge(response.additions);
+            checkProgress();
+        }
+
+        @Override
+        public void onUnanswered(TallyPeer peer, long sentAtMs) {
+            boolean hasChanged = peer.onUnanswered(sentAtMs, scheduler.now());
+            countChange(hasChanged);
+            if (hasChanged) {
+                checkProgress();
+            }
+        }
+
+        @Override
+        public void onPushFailed(TallyPeer peer) {
+            pending.widen();
+        }
+
+        private void countChange(boolean hasChanged) {
+            if (hasChanged) {
+                reachabilityChangeCount++;
+            }
+        }
+    }
+}
