Serve tallies at every control node

Any node, primary or not, now takes additions and answers totals; 503 promises that nothing was done, 504 leaves the outcome open. The status tells what waits, was acknowledged or refused, and what each peer lacks.

--- a/src/main/java/myrtleladder/controlplane/ControlNode.java
+++ b/src/main/java/myrtleladder/controlplane/ControlNode.java
@@ -9,10 +9,13 @@
 import myrtleladder.process.NodeSettings;
 import myrtleladder.protocol.Member;
 import myrtleladder.protocol.StoredState;
+import myrtleladder.protocol.TallyAddition;
 import myrtleladder.replication.Replica;
 import myrtleladder.replication.ReplicaOptions;
 import myrtleladder.rpc.MessageServer;
 import myrtleladder.rpc.PeerClient;
+import myrtleladder.tally.Tallies;
+import myrtleladder.tally.TallyOptions;
 
 /** Puts the parts of a control node together and starts them. */
 final class ControlNode {
@@ -22,19 +25,25 @@
     private ControlNode() {}
 
     /**
-     * Starts a node: reads its state, starts the disk's thread and the event loop, and then, on the
-     * loop, the servers and the replica.
+     * Starts a node: reads its state, starts the disk's threads and the event loop, and then, on
+     * the loop, the servers and the replica.
      *
      * @param loop a loop that is not started yet
      * @return the replica, which may be used on the loop only
      */
-    static Replica start(NodeSettings settings, EventLoop loop, StateStore store) {
+    static Replica start(
+            NodeSettings settings, EventLoop loop, StateStore store, TallyLog tallyLog) {
         StoredState stored = store.load();
+        List<TallyAddition> additions = tallyLog.load();
         AsyncStateWriter writer = new AsyncStateWriter(loop, store);
         writer.start();
+        AsyncTallyWriter tallyWriter = new AsyncTallyWriter(loop::execute, tallyLog);
+        tallyWriter.start();
         loop.start();
         PeerClient peers = new PeerClient(loop, settings.internal()::callAddress);
         ControlPlane plane = controlPlane(settings, loop, peers);
+        plane.serveTallies(
+                new Tallies(tallyOptions(settings), loop, peers, tallyWriter, additions));
         Replica replica =
                 new Replica(
                         replicaOptions(settings),
@@ -61,14 +70,39 @@
                 settings.regionOfZone());
     }
 
+    private static TallyOptions tallyOptions(NodeSettings settings) {
+        return new TallyOptions(
+                internalAddress(settings, settings.ip()),
+                settings.zone(),
+                newProcessIdentity(),
+                settings.toleratedMachines(),
+                settings.toleratedZones(),
+                settings.bootstrap(),
+                settings.seeds().stream()
+                        .map(seed -> internalAddress(settings, seed.host()))
+                        .toList());
+    }
+
+    /** A random 64-bit number as a short text: each addition to a tally carries it. */
+    private static String newProcessIdentity() {
+        UUID random = UUID.randomUUID();
+        long bits = random.getMostSignificantBits() ^ random.getLeastSignificantBits();
+        return Long.toUnsignedString(bits, Character.MAX_RADIX);
+    }
+
+    /** The address of the internal protocol, whose port is the same on all machines. */
+    private static String internalAddress(NodeSettings settings, String host) {
+        return host + ":" + settings.firstPort();
+    }
+
     private static ReplicaOptions replicaOptions(NodeSettings settings) {
-        int port = settings.firstPort();
         List<Member> seeds = new ArrayList<>();
         for (Address seed : settings.seeds()) {
-            seeds.add(Member.of(seed.host() + ":" + port, seed.toString(), UNKNOWN_STORE));
+            String internal = internalAddress(settings, seed.host());
+            seeds.add(Member.of(internal, seed.toString(), UNKNOWN_STORE));
         }
-        Member self =
-                Member.of(settings.ip() + ":" + port, settings.control().toString(), UNKNOWN_STORE);
+        String ownInternal = internalAddress(settings, settings.ip());
+        Member self = Member.of(ownInternal, settings.control().toString(), UNKNOWN_STORE);
         return new ReplicaOptions(
                 self,
                 settings.toleratedMachines(),
--- a/src/main/java/myrtleladder/controlplane/ControlPlane.java
+++ b/src/main/java/myrtleladder/controlplane/ControlPlane.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import myrtleladder.configuration.Configuration;
 import myrtleladder.http.ServerExchange;
 import myrtleladder.protocol.InstanceRecord;
@@ -11,16 +12,19 @@
 import myrtleladder.protocol.PollRequest;
 import myrtleladder.protocol.QuotaRequest;
 import myrtleladder.protocol.ShareInstancesRequest;
+import myrtleladder.protocol.TallySyncRequest;
+import myrtleladder.protocol.View;
 import myrtleladder.replication.Peers;
 import myrtleladder.replication.Replica;
 import myrtleladder.scheduler.Scheduler;
+import myrtleladder.tally.Tallies;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
  * The control plane on one node. It puts the parts together, gives each request to the handler of
  * its path or type, passes on changes of the role, and runs the periodic tasks. Only the primary
- * decides; other nodes name the primary.
+ * decides; other nodes name the primary. {@link Tallies} alone are served by every node.
  *
  * <p>The state is owned by {@link CommittedConfiguration}, {@link InstanceRegistry}, {@link
  * BalancerRegistry}, {@link FleetLoadExchange} and {@link QuotaAllocator}; the {@link Replica} owns
@@ -29,6 +33,7 @@
 public final class ControlPlane implements Replica.Listener {
     private static final Logger LOG = LogManager.getLogger(ControlPlane.class);
     private static final String INSTANCES_PATH = "/instances/";
+    private static final String TALLIES_PATH = "/tallies/";
 
     /** The interval of the periodic tasks. Chosen. */
     private static final long TICK_INTERVAL_MS = 100;
@@ -57,6 +62,11 @@
     private final QuotaRequestHandler quotaRequests;
     private final ShareInstancesRequestHandler shareInstancesRequests;
     private Replica replica;
+
+    /** Null if this node serves no tallies. */
+    private Tallies tallies;
+
+    private TallyRequestHandler tallyRequests;
     private boolean isPrimary;
     private long primarySinceMs;
     private long lastTickMs;
@@ -103,6 +113,13 @@
         shareInstancesRequests = new ShareInstancesRequestHandler(scheduler, instances, saves);
     }
 
+    /** Sets the tallies that this node serves; has to precede {@link #attach}. */
+    public void serveTallies(Tallies served) {
+        tallies = served;
+        tallyRequests = new TallyRequestHandler(served);
+        statusRequests.serveTallies(served);
+    }
+
     /** Sets the replica that decides who is primary, and starts the periodic tasks. */
     public void attach(Replica attached) {
         replica = attached;
@@ -117,6 +134,20 @@
         shareInstancesRequests.attach(attached);
         instances.recover(attached.instancesAtStart(), scheduler.now());
         scheduler.schedule(TICK_INTERVAL_MS, this::tick);
+        if (tallies != null) {
+            tallies.start(this::memberAddresses);
+        }
+    }
+
+    private List<String> memberAddresses() {
+        View view = replica.view();
+        if (view == null) {
+            return List.of();
+        }
+        return Stream.concat(view.group.stream(), view.previousGroup.stream())
+                .map(member -> member.address)
+                .distinct()
+                .toList();
     }
 
     /** The upstream instances that are known here. */
@@ -131,6 +162,8 @@
             configurationRequests.handle(exchange);
         } else if (path.startsWith(INSTANCES_PATH)) {
             instanceRequests.handle(exchange, path.substring(INSTANCES_PATH.length()));
+        } else if (path.startsWith(TALLIES_PATH) && tallies != null) {
+            tallyRequests.handle(exchange, path.substring(TALLIES_PATH.length()));
         } else if (path.equals("/upgrade")) {
             upgradeRequests.handle(exchange);
         } else if (path.equals("/status")) {
@@ -151,6 +184,8 @@
             responder.accept(quotaRequests.handle(request));
         } else if (message instanceof ShareInstancesRequest request) {
             shareInstancesRequests.handle(request, responder);
+        } else if (message instanceof TallySyncRequest request && tallies != null) {
+            tallies.receive(request, responder);
         } else if (!replica.receive(message, responder)) {
             responder.accept(null);
         }
--- a/src/main/java/myrtleladder/controlplane/HttpResponses.java
+++ b/src/main/java/myrtleladder/controlplane/HttpResponses.java
@@ -19,6 +19,7 @@
     static final int METHOD_NOT_ALLOWED = 405;
     static final int PRECONDITION_FAILED = 412;
     static final int SERVICE_UNAVAILABLE = 503;
+    static final int GATEWAY_TIMEOUT = 504;
 
     private static final byte[] NO_BODY = {};
 
--- a/src/main/java/myrtleladder/controlplane/Main.java
+++ b/src/main/java/myrtleladder/controlplane/Main.java
@@ -35,7 +35,8 @@
             throws InterruptedException, ReflectiveOperationException {
         EventLoop loop = new EventLoop();
         StateStore store = new StateStore(Path.of(settings.dataFolder()));
-        Replica replica = ControlNode.start(settings, loop, store);
+        TallyLog tallyLog = new TallyLog(Path.of(settings.dataFolder()));
+        Replica replica = ControlNode.start(settings, loop, store, tallyLog);
         CountDownLatch ended = new CountDownLatch(1);
         Signals.on(
                 "TERM", () -> loop.execute(() -> leave(settings.bounds(), loop, replica, ended)));
--- a/src/main/java/myrtleladder/controlplane/StatusRequestHandler.java
+++ b/src/main/java/myrtleladder/controlplane/StatusRequestHandler.java
@@ -1,9 +1,13 @@
 package myrtleladder.controlplane;
 
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import myrtleladder.configuration.Json;
 import myrtleladder.http.ServerExchange;
 import myrtleladder.replication.Replica;
+import myrtleladder.tally.Tallies;
+import myrtleladder.tally.TallyFigures;
 
 /**
  * Handles {@code GET /status}: what this node, primary or not, knows of itself and the fleet.
@@ -16,6 +20,9 @@
     private final BalancerRegistry balancers;
     private Replica replica;
 
+    /** Null if this node serves no tallies. */
+    private Tallies tallies;
+
     StatusRequestHandler(
             CommittedConfiguration configuration,
             InstanceRegistry instances,
@@ -30,16 +37,52 @@
         replica = attached;
     }
 
+    /** Sets the tallies whose figures are shown. */
+    void serveTallies(Tallies served) {
+        tallies = served;
+    }
+
     /** Accepts a request. */
     void handle(ServerExchange exchange) {
         Map<String, Object> status =
-                Map.of(
-                        "state", replica.state().name(),
-                        "epoch", replica.epoch(),
-                        "generation", configuration.generation(),
-                        "upstreams", instances.all().size(),
-                        "balancers", balancers.addresses().size(),
-                        "view", String.valueOf(replica.view()));
+                new HashMap<>(
+                        Map.of(
+                                "state", replica.state().name(),
+                                "epoch", replica.epoch(),
+                                "generation", configuration.generation(),
+                                "upstreams", instances.all().size(),
+                                "balancers", balancers.addresses().size(),
+                                "view", String.valueOf(replica.view())));
+        if (tallies != null) {
+            status.put("tallies", toJson(tallies.figures()));
+        }
         HttpResponses.json(exchange, HttpResponses.OK, Json.write(status));
     }
+
+    private static Map<String, Object> toJson(TallyFigures figures) {
+        Map<String, Object> json = new LinkedHashMap<>();
+        json.put("caught_up", figures.isCaughtUp());
+        json.put("tallies", figures.tallies());
+        json.put("additions", figures.additions());
+        json.put("unsynced", figures.unsynced());
+        json.put("failed_appends", figures.failedAppends());
+        json.put("waiting", figures.waiting());
+        json.put("acknowledged", figures.acknowledged());
+        json.put("uncertain", figures.uncertain());
+        json.put("refused", figures.refused());
+        json.put("reachability_changes", figures.reachabilityChanges());
+        Map<String, Object> peers = new LinkedHashMap<>();
+        figures.peers().forEach((address, peer) -> peers.put(address, toJson(peer)));
+        json.put("peers", peers);
+        return json;
+    }
+
+    private static Map<String, Object> toJson(TallyFigures.Peer peer) {
+        Map<String, Object> json = new LinkedHashMap<>();
+        json.put("reachability", peer.reachability());
+        json.put("zone", peer.zone());
+        json.put("additions_it_lacks", peer.additionsItLacks());
+        json.put("additions_lacked_here", peer.additionsLackedHere());
+        return json;
+    }
 }
--- a/src/main/java/myrtleladder/controlplane/Warmup.java
+++ b/src/main/java/myrtleladder/controlplane/Warmup.java
@@ -21,6 +21,10 @@
 import myrtleladder.protocol.Message;
 import myrtleladder.protocol.PollRequest;
 import myrtleladder.protocol.QuotaRequest;
+import myrtleladder.protocol.TallyAddition;
+import myrtleladder.protocol.TallyPosition;
+import myrtleladder.protocol.TallyStateSummary;
+import myrtleladder.protocol.TallySyncRequest;
 import myrtleladder.protocol.UpstreamLoad;
 import myrtleladder.result.ResultCode;
 import myrtleladder.rpc.OneCall;
@@ -73,14 +77,18 @@
             {"backend":"s","address":"127.0.0.1:9","zone":"z","generation":"v1","capacity":64,
              "state":"ready","sequence":1}""";
 
+    private static final String ADDITION = "{\"id\":\"a\",\"owner\":1}";
+
     private final EventLoop loop = new EventLoop();
     private final CountDownLatch done = new CountDownLatch(1);
     private final int controlPort = freePort();
     private final int internalPort = freePort();
     private final StateStore store;
+    private final TallyLog tallyLog;
 
-    private Warmup(StateStore store) {
+    private Warmup(StateStore store, TallyLog tallyLog) {
         this.store = store;
+        this.tallyLog = tallyLog;
     }
 
     private static int freePort() {
@@ -94,13 +102,13 @@
     /** Runs once; whether it came to its end in time. */
     static boolean run() throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("rehearsal");
-        Warmup warmup = new Warmup(new StateStore(folder));
+        Warmup warmup = new Warmup(new StateStore(folder), new TallyLog(folder));
         warmup.start();
         return warmup.done.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
     private void start() {
-        ControlNode.start(settings(), loop, store);
+        ControlNode.start(settings(), loop, store, tallyLog);
         loop.execute(() -> loop.schedule(STEP_MS, this::sendFirstRequests));
     }
 
@@ -123,6 +131,7 @@
                 null,
                 self,
                 0,
+                0,
                 new NodeSettings.Limits(256, 1_024),
                 new NodeSettings.Bounds(
                         2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 100, 4_000, 0),
@@ -139,6 +148,8 @@
         send("PATCH", "/config", "3", PATCH);
         send("PUT", "/config", "3", OUTDATED_DOCUMENT);
         send("GET", "/config", NO_IF_MATCH, NO_BODY);
+        send("POST", "/tallies/t", NO_IF_MATCH, ADDITION);
+        send("GET", "/tallies/t", NO_IF_MATCH, NO_BODY);
         send("GET", "/status", NO_IF_MATCH, NO_BODY);
         send("DELETE", "/instances/i", NO_IF_MATCH, NO_BODY);
         PeerClient peers = new PeerClient(loop);
@@ -148,6 +159,7 @@
         QuotaRequest quota = QuotaRequest.of("t", 1);
         quota.loadReport = loadReport();
         send(peers, quota);
+        send(peers, additionOfAnotherNode());
         loop.schedule(2 * STEP_MS, this::finish);
     }
 
@@ -156,6 +168,14 @@
         done.countDown();
     }
 
+    private static TallySyncRequest additionOfAnotherNode() {
+        TallyPosition position = TallyPosition.of("p", 1);
+        TallyStateSummary sender =
+                TallyStateSummary.of(HOST + ":9", "z", "p", List.of(position), List.of(position));
+        TallyAddition addition = TallyAddition.of("p", 1, "t", "b", 1);
+        return TallySyncRequest.push(sender, List.of(addition), List.of(position));
+    }
+
     private static LoadReport loadReport() {
         LoadReport report = new LoadReport();
         report.balancer = "e";
--- a/src/main/java/myrtleladder/process/NodeSettings.java
+++ b/src/main/java/myrtleladder/process/NodeSettings.java
@@ -31,6 +31,7 @@
  * @param readiness {@code listen.readiness}, null if missing
  * @param control {@code listen.control}, null if missing
  * @param toleratedMachines {@code fault_tolerance.machines}; default 0
+ * @param toleratedZones {@code fault_tolerance.zones}; default 0
  * @param limits {@code limits} of the machine
  * @param bounds {@code bounds} of the rules
  * @param internal {@code internal}: where the internal protocol listens and calls
@@ -51,6 +52,7 @@
         Address readiness,
         Address control,
         int toleratedMachines,
+        int toleratedZones,
         Limits limits,
         Bounds bounds,
         InternalNetwork internal) {
@@ -153,6 +155,7 @@
                 address(listen, "readiness"),
                 address(listen, "control"),
                 root.path("fault_tolerance").path("machines").asInt(0),
+                root.path("fault_tolerance").path("zones").asInt(0),
                 limits(root.path("limits")),
                 bounds(root.path("bounds")),
                 InternalNetwork.read(
--- a/src/test/java/myrtleladder/controlplane/ControlPlaneFixture.java
+++ b/src/test/java/myrtleladder/controlplane/ControlPlaneFixture.java
@@ -20,9 +20,14 @@
 import myrtleladder.protocol.ReplicateRequest;
 import myrtleladder.protocol.ShareInstancesRequest;
 import myrtleladder.protocol.StoredState;
+import myrtleladder.protocol.TallyStateSummary;
+import myrtleladder.protocol.TallySyncRequest;
+import myrtleladder.protocol.TallySyncResponse;
 import myrtleladder.replication.ManualScheduler;
 import myrtleladder.replication.Replica;
 import myrtleladder.replication.ReplicaOptions;
+import myrtleladder.tally.Tallies;
+import myrtleladder.tally.TallyOptions;
 
 /** A control plane on a manual clock, primary of a group whose other two members are scripted. */
 final class ControlPlaneFixture {
@@ -69,6 +74,13 @@
                         this::call,
                         plane,
                         plane::instances);
+        plane.serveTallies(
+                new Tallies(
+                        new TallyOptions("a:1", "z", "p", 1, 0, true, List.of("b:1", "c:1")),
+                        clock,
+                        this::call,
+                        (additions, done) -> clock.schedule(SYNC_MS, () -> done.accept(true)),
+                        List.of()));
         plane.attach(replica);
         replica.start();
         clock.run(1_000);
@@ -127,6 +139,11 @@
             promise.member = peer;
             return promise;
         }
+        if (message instanceof TallySyncRequest exchange) {
+            TallyStateSummary summary =
+                    TallyStateSummary.of(to, "z", to, exchange.awaited, List.of());
+            return TallySyncResponse.of(summary, List.of());
+        }
         boolean isAcknowledged =
                 message instanceof AcceptViewRequest
                         || message instanceof InstallStateRequest
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedCluster.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedCluster.java
@@ -22,6 +22,12 @@
     /** The catch-up time of the settings. */
     static final long CATCH_UP_MS = 4_000;
 
+    /** Nodes are spread over this many zones, one after the other. */
+    static final int ZONE_COUNT = 4;
+
+    /** How many zones may be lost at a time. */
+    static final int TOLERATED_ZONES = 1;
+
     private static final int SEED_COUNT = 3;
     private static final int BALANCER_COUNT = 2;
     private static final int UPSTREAM_COUNT = 2;
@@ -45,6 +51,7 @@
     private final List<SimulatedNode> nodes = new ArrayList<>();
 
     private final Safeguard removedSafeguard;
+    private final boolean hasTallies;
     private final MessageForger forger;
     private List<Member> seeds = new ArrayList<>();
     private Consumer<SimulatedNode> onFaultPoint = node -> {};
@@ -54,6 +61,7 @@
         this.network = new SimulatedNetwork(clock, random);
         this.tolerated = builder.tolerated;
         this.removedSafeguard = builder.removedSafeguard;
+        this.hasTallies = builder.hasTallies;
         this.forger = new MessageForger(removedSafeguard, this);
         for (int i = 0; i < builder.size; i++) {
             SimulatedNode node = addMachine();
@@ -76,6 +84,7 @@
         private long seed;
         private int tolerated;
         private Safeguard removedSafeguard;
+        private boolean hasTallies;
 
         private Builder(int size) {
             this.size = size;
@@ -94,6 +103,12 @@
             return this;
         }
 
+        /** Lets the nodes serve tallies. */
+        Builder withTallies() {
+            hasTallies = true;
+            return this;
+        }
+
         SimulatedCluster build() {
             return new SimulatedCluster(this);
         }
@@ -101,10 +116,19 @@
 
     /** Starts all nodes for the first time, then those who call them. */
     void start() {
+        startNodes();
+        startCallers();
+    }
+
+    /** Starts all nodes for the first time. */
+    void startNodes() {
         for (SimulatedNode node : nodes) {
             clock.schedule(random.nextInt(FIRST_START_SPREAD_MS), () -> node.start(true));
         }
         clock.run(FIRST_ELECTION_MS);
+    }
+
+    private void startCallers() {
         for (int i = 0; i < BALANCER_COUNT; i++) {
             SimulatedBalancer balancer = new SimulatedBalancer(this, "e" + i);
             balancers.add(balancer);
@@ -121,6 +145,11 @@
         }
     }
 
+    /** Whether the nodes serve tallies. */
+    boolean hasTallies() {
+        return hasTallies;
+    }
+
     /** Whether this run goes without a safeguard. */
     boolean isRemoved(Safeguard safeguard) {
         return removedSafeguard == safeguard;
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedDisk.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedDisk.java
@@ -1,11 +1,14 @@
 package myrtleladder.controlplane.model;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import myrtleladder.protocol.MessageCodec;
 import myrtleladder.protocol.StoredState;
+import myrtleladder.protocol.TallyAddition;
 import myrtleladder.replication.ManualScheduler;
 
 /**
@@ -37,10 +40,11 @@
     private final ArrayDeque<Save> saves = new ArrayDeque<>();
     private Mode mode = Mode.SOUND;
     private byte[] synced;
+    private final List<TallyAddition> syncedAdditions = new ArrayList<>();
     private boolean isWriting;
     private int interruptions;
 
-    private record Save(byte[] bytes, BooleanSupplier isProcessAlive, Consumer<Boolean> done) {}
+    private record Save(Runnable write, BooleanSupplier isProcessAlive, Consumer<Boolean> done) {}
 
     SimulatedDisk(ManualScheduler clock, SplittableRandom random, boolean isAnsweringBeforeSync) {
         this.clock = clock;
@@ -53,6 +57,18 @@
         return synced == null ? null : (StoredState) MessageCodec.decode(synced);
     }
 
+    /** The additions to tallies that a start reads. */
+    List<TallyAddition> loadAdditions() {
+        return List.copyOf(syncedAdditions);
+    }
+
+    void append(
+            List<TallyAddition> additions, BooleanSupplier isProcessAlive, Consumer<Boolean> done) {
+        List<TallyAddition> copy = List.copyOf(additions);
+        saves.add(new Save(() -> syncedAdditions.addAll(copy), isProcessAlive, done));
+        writeNext();
+    }
+
     void setMode(Mode next) {
         mode = next;
         writeNext();
@@ -60,11 +76,12 @@
 
     void save(StoredState state, BooleanSupplier isProcessAlive, Consumer<Boolean> done) {
         byte[] bytes = MessageCodec.encode(state);
+        Runnable write = () -> synced = bytes;
         if (isAnsweringBeforeSync && mode == Mode.SOUND) {
-            saves.add(new Save(bytes, isProcessAlive, isSaved -> {}));
+            saves.add(new Save(write, isProcessAlive, isSaved -> {}));
             clock.schedule(0, () -> done.accept(true));
         } else {
-            saves.add(new Save(bytes, isProcessAlive, done));
+            saves.add(new Save(write, isProcessAlive, done));
         }
         writeNext();
     }
@@ -97,7 +114,7 @@
         Save save = saves.poll();
         boolean isSaved = mode != Mode.FULL;
         if (isSaved) {
-            synced = save.bytes();
+            save.write().run();
         }
         if (save.isProcessAlive().getAsBoolean()) {
             save.done().accept(isSaved);
@@ -108,7 +125,7 @@
     /** The process or its power is gone: of the states being written some of the first remain. */
     void interrupt() {
         while (!saves.isEmpty() && mode != Mode.FULL && random.nextInt(3) == 0) {
-            synced = saves.poll().bytes();
+            saves.poll().write().run();
         }
         saves.clear();
         isWriting = false;
@@ -119,5 +136,6 @@
     void wipe() {
         interrupt();
         synced = null;
+        syncedAdditions.clear();
     }
 }
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedNode.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedNode.java
@@ -16,6 +16,7 @@
 
     final String address;
     final String control;
+    final String zone;
     private final SimulatedCluster cluster;
     private final SimulatedDisk disk;
     private SimulatedProcess process;
@@ -27,6 +28,7 @@
         this.cluster = cluster;
         this.address = "n" + number + ":1";
         this.control = "c" + number + ":1";
+        this.zone = "z" + number % SimulatedCluster.ZONE_COUNT;
         this.disk =
                 new SimulatedDisk(
                         cluster.clock,
@@ -67,6 +69,11 @@
         return Math.max(0, frozenUntilMs - cluster.clock.now());
     }
 
+    /** How often a process was started here; tells the processes apart. */
+    int startCount() {
+        return startCount;
+    }
+
     /** The replica of the last process, null before the first. */
     Replica replica() {
         return process == null ? null : process.replica();
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedProcess.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedProcess.java
@@ -1,6 +1,7 @@
 package myrtleladder.controlplane.model;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import myrtleladder.controlplane.ControlPlane;
@@ -10,17 +11,21 @@
 import myrtleladder.protocol.Message;
 import myrtleladder.protocol.MessageCodec;
 import myrtleladder.protocol.StoredState;
+import myrtleladder.protocol.TallyAddition;
 import myrtleladder.replication.Peers;
 import myrtleladder.replication.Replica;
 import myrtleladder.replication.ReplicaOptions;
 import myrtleladder.replication.Storage;
 import myrtleladder.scheduler.Scheduler;
+import myrtleladder.tally.Tallies;
+import myrtleladder.tally.TallyOptions;
+import myrtleladder.tally.TallyStorage;
 
 /**
  * One process of a control node: the code under test, connected to the simulated clock, disk and
  * network. Nothing of it runs once it has ended; while it is frozen all of it waits.
  */
-final class SimulatedProcess implements Scheduler, Storage, Peers, Replica.Listener {
+final class SimulatedProcess implements Scheduler, Storage, TallyStorage, Peers, Replica.Listener {
     private static final long UPSTREAM_HEARTBEAT_MS = 1_200;
     private static final double QUOTA_OVERAGE_SHARE = 0.1;
     private static final double QUOTA_SLACK_UNITS = 1_000;
@@ -50,6 +55,9 @@
                         QUOTA_OVERAGE_SHARE,
                         QUOTA_SLACK_UNITS,
                         REGION_BY_ZONE);
+        if (cluster.hasTallies()) {
+            plane.serveTallies(tallies(isBootstrap, newStore));
+        }
         this.replica =
                 new Replica(
                         new ReplicaOptions(
@@ -67,6 +75,22 @@
                         plane::instances);
     }
 
+    private Tallies tallies(boolean isBootstrap, String process) {
+        return new Tallies(
+                new TallyOptions(
+                        node.address,
+                        node.zone,
+                        process,
+                        cluster.tolerated,
+                        SimulatedCluster.TOLERATED_ZONES,
+                        isBootstrap,
+                        cluster.seeds().stream().map(seed -> seed.address).toList()),
+                this,
+                this,
+                this,
+                node.disk().loadAdditions());
+    }
+
     void start() {
         plane.attach(replica);
         replica.start();
@@ -123,6 +147,11 @@
         node.disk().save(state, () -> !hasEnded, isSaved -> run(() -> saved(isSaved, done)));
     }
 
+    @Override
+    public void append(List<TallyAddition> additions, Consumer<Boolean> done) {
+        node.disk().append(additions, () -> !hasEnded, isSaved -> run(() -> saved(isSaved, done)));
+    }
+
     private void saved(boolean isSaved, Consumer<Boolean> done) {
         if (passFaultPoint()) {
             done.accept(isSaved);
