Play drawn faults on real control processes and check their tallies

Nothing yet ran tallies on processes with sockets and files. TallySoakTest draws the faults of a run from its seed: ends, kills, suspensions, wiped disks within the tolerance, cuts of zones and groups, links of one direction, bridge cuts, and at the end all processes killed with as many disks wiped as may be lost. Applications of each zone add and read, keep their connections and send an id again elsewhere; configurations change and upstreams leave meanwhile.

--- a/src/test/java/myrtleladder/controlplane/ControlProcesses.java
+++ b/src/test/java/myrtleladder/controlplane/ControlProcesses.java
@@ -56,6 +56,7 @@
     private final FaultProxy proxy;
 
     private final List<String> proxied;
+    private final ControlTopology topology;
 
     ControlProcesses(Path folder) {
         this(folder, null, List.of());
@@ -63,9 +64,28 @@
 
     /** Nodes of which those that are named call each other through a proxy. */
     ControlProcesses(Path folder, FaultProxy proxy, List<String> proxied) {
+        this(folder, proxy, proxied, new ControlTopology(proxied.size(), 1, 1, 0));
+    }
+
+    /** Nodes of a topology that call each other through a proxy. */
+    ControlProcesses(Path folder, FaultProxy proxy, ControlTopology topology) {
+        this(folder, proxy, topology.names(), topology);
+    }
+
+    private ControlProcesses(
+            Path folder, FaultProxy proxy, List<String> proxied, ControlTopology topology) {
         this.folder = folder;
         this.proxy = proxy;
         this.proxied = proxied;
+        this.topology = topology;
+    }
+
+    /** Where the applications of a zone call a node: through the proxy if it lies elsewhere. */
+    InetSocketAddress addressFor(String zone, String name) {
+        InetSocketAddress control = new InetSocketAddress(ip(name), CONTROL_PORT);
+        return topology.zoneOf(name).equals(zone)
+                ? control
+                : proxy.stream(ControlTopology.applicationsIn(zone), name, control);
     }
 
     /** The addresses at which a node calls the others, as its settings file has them. */
@@ -102,14 +122,15 @@
             seeds.append(separator).append('"').append(ip("n" + i)).append(":8367\"");
         }
         String text =
-                "node_name = \"%s\"\nrole = \"control\"\nip = \"%s\"\nzone = \"z\"\n"
-                                .formatted(name, ip(name))
+                "node_name = \"%s\"\nrole = \"control\"\nip = \"%s\"\nzone = \"%s\"\n"
+                                .formatted(name, ip(name), topology.zoneOf(name))
                         + "port_range = [%d,7515]\nseeds = [%s]\nbootstrap = %s\n"
                                 .formatted(INTERNAL_PORT, seeds, isBootstrap)
                         + "heartbeat_ms = 1200\ndata_dir = \"%s\"\n".formatted(disk(name))
                         + "[listen]\ncontrol = \"%s:%d\"\n".formatted(ip(name), CONTROL_PORT)
                         + "[fault_tolerance]\n"
-                        + "machines = 1\n"
+                        + "machines = %d\nzones = %d\n"
+                                .formatted(topology.toleratedMachines(), topology.toleratedZones())
                         + "[bounds]\n"
                         + "catch_up_s = 4\n"
                         + "grace_s = 8\n"
@@ -178,6 +199,14 @@
         process.waitFor();
     }
 
+    /** Kills nodes at the same time. */
+    void kill(List<String> names) throws InterruptedException {
+        names.forEach(name -> processes.get(name).destroyForcibly());
+        for (String name : names) {
+            kill(name);
+        }
+    }
+
     /** Whether a node that was asked to end has done so within a time. */
     boolean hasEnded(String name, long withinMs) throws InterruptedException {
         return processes.get(name).waitFor(withinMs, TimeUnit.MILLISECONDS);
@@ -366,7 +395,7 @@
     }
 
     /** The ends of the nodes' logs, for the message of a failure. */
-    private String logs() {
+    String logs() {
         StringBuilder logs = new StringBuilder();
         for (String name : names()) {
             logs.append("\n-- ").append(name).append('\n');
--- /dev/null
+++ b/src/test/java/myrtleladder/controlplane/TallySoakTest.java
@@ -0,0 +1,71 @@
+package myrtleladder.controlplane;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Real control processes under drawn faults: tallies stay between what was acknowledged and what
+ * may have been applied, on all nodes, and so do configurations and departures.
+ */
+class TallySoakTest {
+    private static final long FIRST_SEED = Long.getLong("soak.first", 1);
+    private static final int NODES = Integer.getInteger("soak.nodes", 8);
+
+    @TempDir Path folder;
+
+    private static ControlTopology topology(int nodes) {
+        int toleratedMachines = nodes < 5 ? 1 : 2;
+        return new ControlTopology(nodes, Math.min(nodes / 2 + 1, 4), toleratedMachines, 1);
+    }
+
+    private void play(long firstSeed, int seeds, int nodes, int seconds) throws Exception {
+        List<String> failures = new ArrayList<>();
+        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+            failures.addAll(play(seed, nodes, seconds));
+        }
+        assertEquals(List.of(), failures);
+    }
+
+    private List<String> play(long seed, int nodes, int seconds) throws Exception {
+        Path disks = Files.createDirectory(folder.resolve("seed-" + seed));
+        List<String> failures = new ArrayList<>();
+        try (SoakRun run = new SoakRun(seed, topology(nodes), seconds * 1_000L, disks)) {
+            try {
+                run.play().forEach(violation -> failures.add("seed " + seed + ": " + violation));
+            } catch (AssertionError e) {
+                failures.add("seed " + seed + ": " + e.getMessage());
+            }
+            if (!failures.isEmpty()) {
+                System.out.printf(
+                        "to play it again: mvn -B -Plong -Dtest=TallySoakTest -Dsoak.first=%d"
+                                + " -Dsoak.seeds=1 -Dsoak.nodes=%d -Dsoak.seconds=%d test%n%s%s%n",
+                        seed, nodes, seconds, run.schedule(), String.join("\n", failures));
+            }
+        }
+        System.out.printf(
+                "seed %d, %d nodes, %d s: %d violations%n", seed, nodes, seconds, failures.size());
+        return failures;
+    }
+
+    @Test
+    void talliesHoldThroughAShortScheduleOfFaults() throws Exception {
+        play(FIRST_SEED, 1, 5, 25);
+    }
+
+    @Test
+    @Tag("long")
+    void talliesHoldThroughManySchedulesOfFaults() throws Exception {
+        play(
+                FIRST_SEED,
+                Integer.getInteger("soak.seeds", 20),
+                NODES,
+                Integer.getInteger("soak.seconds", 60));
+    }
+}
