Tell balancers how long an upstream stays cold

Callers saw cold upstreams flooded: warmup_left_ms of a heartbeat was read by nobody, so balancers could not tell a cold upstream from a warm one. The primary keeps the end of each warm-up on its own clock and sends what is left with each record; becoming cold, also again, answers waiting polls at once. Late heartbeats and the records of other nodes never shorten a warm-up. Upstreams of a zone taken back, and those silent for 2.5 heartbeats, are assumed cold until their next heartbeat.

The field is not written while there is no warm-up, so messages to the earlier program are the same. Tests: InstanceRegistryTest, ControlPlaneTest; on the former code a waiting poll got no answer when a known upstream reported a warm-up.

--- a/src/main/java/myrtleladder/configuration/Service.java
+++ b/src/main/java/myrtleladder/configuration/Service.java
@@ -7,8 +7,18 @@
  * @param healthCheck {@code health_check}, the path of the probe; default {@code /healthz}
  * @param maxConnections {@code max_connections} to one upstream; default 100
  * @param engine {@code engine} of upstreams that run a language model, null for others
+ * @param warmupMs {@code warmup_s}: how long an upstream stays cold after its start; default 0
+ * @param warmupPerSecond {@code warmup_per_s}: requests a second that a cold upstream withstands,
+ *     with a fraction; default 0 for no limit
  */
-public record Service(String name, String healthCheck, int maxConnections, Engine engine) {
+public record Service(
+        String name,
+        String healthCheck,
+        int maxConnections,
+        Engine engine,
+        long warmupMs,
+        double warmupPerSecond) {
+    private static final double MS_PER_SECOND = 1_000;
 
     /**
      * A language model.
@@ -33,6 +43,8 @@
                 fields.text("name"),
                 fields.text("health_check", "/healthz"),
                 (int) fields.number("max_connections", 100),
-                engine);
+                engine,
+                Math.round(fields.decimal("warmup_s", 0) * MS_PER_SECOND),
+                fields.decimal("warmup_per_s", 0));
     }
 }
--- a/src/main/java/myrtleladder/controlplane/ControlPlane.java
+++ b/src/main/java/myrtleladder/controlplane/ControlPlane.java
@@ -39,6 +39,12 @@
     /** An instance that misses more heartbeats than this is lost. Chosen. */
     private static final int MAX_MISSED_HEARTBEATS = 3;
 
+    /** A silence of more intervals than this may mean that the instance comes back cold. */
+    private static final double MAX_SILENT_INTERVALS = 2.5;
+
+    /** Heartbeat intervals for which an instance is assumed to be cold unless it says otherwise. */
+    private static final int ASSUMED_WARMUP_INTERVALS = 2;
+
     private final Scheduler scheduler;
     private final long heartbeatIntervalMs;
     private final InstanceRegistry instances = new InstanceRegistry();
@@ -121,7 +127,7 @@
 
     /** The upstream instances that are known here. */
     public List<InstanceRecord> instances() {
-        return instances.all();
+        return instances.all(scheduler.now());
     }
 
     /** Handles an HTTP request at the control address. */
@@ -229,11 +235,37 @@
 
     private void expireInstances(long nowMs) {
         long timeoutMs = MAX_MISSED_HEARTBEATS * heartbeatIntervalMs + heartbeatIntervalMs / 2;
-        if (hasHeardAllInstances(nowMs) && instances.expire(nowMs, timeoutMs)) {
+        if (!hasHeardAllInstances(nowMs)) {
+            return;
+        }
+        boolean hasLost = instances.expire(nowMs, timeoutMs);
+        long silenceMs = (long) (MAX_SILENT_INTERVALS * heartbeatIntervalMs);
+        boolean hasSilent = instances.assumeSilentAreCold(silenceMs, assumedWarmupMs(), nowMs);
+        if (hasLost || hasSilent) {
             polls.sendUpdates();
         }
     }
 
+    private long assumedWarmupMs() {
+        return ASSUMED_WARMUP_INTERVALS * heartbeatIntervalMs;
+    }
+
+    /**
+     * Takes the ready upstreams of a zone for cold until their next heartbeat: its evacuation was
+     * withdrawn, and they may have become cold unnoticed.
+     */
+    void assumeCold(String zone) {
+        List<InstanceRecord> assumed =
+                instances.assumeCold(zone, assumedWarmupMs(), scheduler.now());
+        if (assumed.isEmpty()) {
+            return;
+        }
+        LOG.info("{} upstreams of {} are taken for cold", assumed.size(), zone);
+        assumed.forEach(replicator::replicate);
+        polls.sendUpdates();
+        saves.schedule();
+    }
+
     private void assignOrdinals(long nowMs) {
         List<InstanceRecord> assigned = instances.assignOrdinals(nowMs);
         if (assigned.isEmpty()) {
--- a/src/main/java/myrtleladder/controlplane/InstanceHeartbeatParser.java
+++ b/src/main/java/myrtleladder/controlplane/InstanceHeartbeatParser.java
@@ -12,6 +12,7 @@
 final class InstanceHeartbeatParser {
     private static final long DEFAULT_CAPACITY = 1;
     private static final long DEFAULT_SEQUENCE = 0;
+    private static final long DEFAULT_WARMUP_LEFT_MS = 0;
 
     private InstanceHeartbeatParser() {}
 
@@ -33,7 +34,8 @@
                         String.valueOf(json.getOrDefault("generation", "")),
                         state.equals("draining") ? Stage.DRAINING : Stage.READY,
                         integer(json, "sequence", DEFAULT_SEQUENCE))
-                .withWeightsVersion(weightsVersion(json));
+                .withWeightsVersion(weightsVersion(json))
+                .withWarmupLeftMs(integer(json, "warmup_left_ms", DEFAULT_WARMUP_LEFT_MS));
     }
 
     /** The version of the weights of the first model: an upstream serves one here. */
--- a/src/main/java/myrtleladder/controlplane/InstanceRegistry.java
+++ b/src/main/java/myrtleladder/controlplane/InstanceRegistry.java
@@ -13,7 +13,8 @@
  *
  * <p>Invariants: a record only ever advances ({@link InstanceRecord#latest}), so that a departure
  * holds against any late heartbeat; each change that balancers have to learn of has a revision of
- * its own. Confined to the event loop.
+ * its own. A record is kept as it was reported; what is left of its warm-up is told as of the time
+ * that a caller names. Confined to the event loop.
  */
 final class InstanceRegistry {
     /** How long the record of an instance that is not ready outlasts its last sign. Chosen. */
@@ -24,6 +25,7 @@
 
     private static final class Entry {
         final long firstSeenMs;
+        final WarmupDeadline warmup = new WarmupDeadline();
         InstanceRecord record;
         long revision;
         long lastSeenMs;
@@ -31,6 +33,20 @@
         Entry(long firstSeenMs) {
             this.firstSeenMs = firstSeenMs;
         }
+
+        /** Takes the warm-up of a record unless a later heartbeat is known; whether it is news. */
+        boolean mergeWarmup(InstanceRecord reported, long nowMs) {
+            long knownSequence = record == null ? Long.MIN_VALUE : record.heartbeatSequence;
+            if (reported.heartbeatSequence > knownSequence) {
+                return warmup.replace(reported.warmupLeftMs(), nowMs);
+            }
+            return reported.heartbeatSequence == knownSequence
+                    && warmup.extend(reported.warmupLeftMs(), nowMs);
+        }
+
+        InstanceRecord recordAsOf(long nowMs) {
+            return record.withWarmupLeftMs(warmup.remainingMs(nowMs));
+        }
     }
 
     /** The revision of the latest change; 0 before the first. */
@@ -42,15 +58,55 @@
     boolean merge(InstanceRecord record, long nowMs) {
         Entry entry = entries.computeIfAbsent(record.id, id -> new Entry(nowMs));
         InstanceRecord before = entry.record;
+        boolean hasNewWarmup = entry.mergeWarmup(record, nowMs);
         entry.lastSeenMs = nowMs;
         entry.record = before == null ? record : InstanceRecord.latest(before, record);
-        if (!entry.record.differsFrom(before)) {
+        if (!hasNewWarmup && !entry.record.differsFrom(before)) {
             return false;
         }
         markChanged(entry);
         return true;
     }
 
+    /**
+     * Takes all instances of a zone that are ready for cold until their next heartbeat, for a time
+     * at the longest; the records of those that were not known to be.
+     *
+     * @param zone a zone whose evacuation was withdrawn: its instances may have become cold
+     */
+    List<InstanceRecord> assumeCold(String zone, long durationMs, long nowMs) {
+        List<InstanceRecord> assumed = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            boolean isAffected = entry.record.zone.equals(zone) && isReady(entry.record);
+            if (isAffected && entry.warmup.extend(durationMs, nowMs)) {
+                markChanged(entry);
+                assumed.add(entry.recordAsOf(nowMs));
+            }
+        }
+        return assumed;
+    }
+
+    /**
+     * Takes ready instances that were silent for a time for cold until their next heartbeat, for a
+     * time at the longest: they may be down and come back cold. Whether there was any.
+     */
+    boolean assumeSilentAreCold(long silenceMs, long durationMs, long nowMs) {
+        boolean hasChanged = false;
+        for (Entry entry : entries.values()) {
+            boolean isSilent = nowMs - entry.lastSeenMs > silenceMs && isReady(entry.record);
+            boolean isWarm = entry.warmup.remainingMs(nowMs) == 0;
+            if (isSilent && isWarm && entry.warmup.extend(durationMs, nowMs)) {
+                markChanged(entry);
+                hasChanged = true;
+            }
+        }
+        return hasChanged;
+    }
+
+    private static boolean isReady(InstanceRecord record) {
+        return record.stage == Stage.READY;
+    }
+
     private void markChanged(Entry entry) {
         revision++;
         entry.revision = revision;
@@ -85,20 +141,33 @@
         return entry == null ? null : entry.record;
     }
 
-    /** All records. */
+    /** The record of a known instance, with what is left of its warm-up now. */
+    InstanceRecord get(String id, long nowMs) {
+        return entries.get(id).recordAsOf(nowMs);
+    }
+
+    /** All records, as they were reported. */
     List<InstanceRecord> all() {
         return changedSince(0);
     }
 
-    /** The records that changed after a revision. */
+    /** All records, with what is left of their warm-ups now. */
+    List<InstanceRecord> all(long nowMs) {
+        return changedSince(0, nowMs);
+    }
+
+    /** The records that changed after a revision, as they were reported. */
     List<InstanceRecord> changedSince(long knownRevision) {
-        List<InstanceRecord> changed = new ArrayList<>();
-        for (Entry entry : entries.values()) {
-            if (entry.revision > knownRevision) {
-                changed.add(entry.record);
-            }
-        }
-        return changed;
+        return entriesSince(knownRevision).stream().map(entry -> entry.record).toList();
+    }
+
+    /** The records that changed after a revision, with what is left of their warm-ups now. */
+    List<InstanceRecord> changedSince(long knownRevision, long nowMs) {
+        return entriesSince(knownRevision).stream().map(entry -> entry.recordAsOf(nowMs)).toList();
+    }
+
+    private List<Entry> entriesSince(long knownRevision) {
+        return entries.values().stream().filter(entry -> entry.revision > knownRevision).toList();
     }
 
     /** Assigns the ordinals that are due; the records of the instances that got one. */
@@ -139,6 +208,6 @@
     }
 
     private static boolean isAlive(InstanceRecord record) {
-        return record.stage == Stage.READY || record.stage == Stage.DRAINING;
+        return isReady(record) || record.stage == Stage.DRAINING;
     }
 }
--- a/src/main/java/myrtleladder/controlplane/InstanceRequestHandler.java
+++ b/src/main/java/myrtleladder/controlplane/InstanceRequestHandler.java
@@ -84,7 +84,7 @@
             polls.sendUpdates();
             saves.schedule();
         }
-        InstanceRecord merged = instances.get(record.id);
+        InstanceRecord merged = instances.get(record.id, scheduler.now());
         if (merged.isLeaving()) {
             replicator.replicateDurably(merged, isDurable -> answer(exchange, isDurable));
             return;
--- a/src/main/java/myrtleladder/controlplane/PollResponseBuilder.java
+++ b/src/main/java/myrtleladder/controlplane/PollResponseBuilder.java
@@ -93,7 +93,8 @@
         response.fullInstanceList =
                 request.epoch != response.epoch || !request.hasAuthoritativeList;
         response.instances =
-                instances.changedSince(response.fullInstanceList ? 0 : request.instanceRevision);
+                instances.changedSince(
+                        response.fullInstanceList ? 0 : request.instanceRevision, scheduler.now());
     }
 
     private void addBalancers(PollResponse response, PollRequest request) {
--- a/src/main/java/myrtleladder/dataplane/Warmup.java
+++ b/src/main/java/myrtleladder/dataplane/Warmup.java
@@ -123,7 +123,7 @@
                 1,
                 new NodeSettings.Limits(256, 1_024),
                 new NodeSettings.Bounds(
-                        2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 190_000, 4_000, 0),
+                        2_000, 2_000, 8_000, 0.2, 10_000, 52, 3_000, 0.1, 190_000, 4_000, 0, 1, 0),
                 InternalNetwork.direct(new Address(HOST, freePort())));
     }
 
--- a/src/main/java/myrtleladder/process/NodeSettings.java
+++ b/src/main/java/myrtleladder/process/NodeSettings.java
@@ -80,6 +80,10 @@
      * @param catchUpMs {@code catch_up_s}; default 4 s
      * @param versionMs {@code version_ms}, after which requests may not begin on older weights;
      *     default 0 for no such bound
+     * @param warmupOverage {@code warmup_overage}: by which factor a cold upstream may get more
+     *     requests a second than its service's {@code warmup_per_s}, at least 0; default 1
+     * @param warmupSlack {@code warmup_slack}: how many requests more than that, at least 0;
+     *     default 0
      */
     public record Bounds(
             long drainMs,
@@ -92,7 +96,9 @@
             double quotaOverage,
             double quotaSlack,
             long catchUpMs,
-            long versionMs) {}
+            long versionMs,
+            double warmupOverage,
+            double warmupSlack) {}
 
     /**
      * Reads and checks the file that the environment names, as it is now.
@@ -181,7 +187,21 @@
                 node.path("quota_overage").asDouble(0),
                 node.path("quota_slack").asDouble(0),
                 Math.round(node.path("catch_up_s").asDouble(4) * 1_000),
-                node.path("version_ms").asLong(0));
+                node.path("version_ms").asLong(0),
+                nonNegative(node, "warmup_overage", 1),
+                nonNegative(node, "warmup_slack", 0));
+    }
+
+    private static double nonNegative(JsonNode node, String name, double defaultValue) {
+        JsonNode value = node.path(name);
+        if (value.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!value.isNumber() || value.asDouble() < 0) {
+            throw new SettingsException(
+                    ResultCode.SETTINGS_VALUE, name + " is not a number from 0 on");
+        }
+        return value.asDouble();
     }
 
     private static String text(JsonNode node, String name) {
--- a/src/main/java/myrtleladder/protocol/InstanceRecord.java
+++ b/src/main/java/myrtleladder/protocol/InstanceRecord.java
@@ -59,7 +59,14 @@
      */
     public int ordinal = UNASSIGNED_ORDINAL;
 
-    /** Creates a record without ordinal and version of weights. */
+    /**
+     * How much longer the instance stays cold, in milliseconds from when the record is sent; null
+     * if it is not cold. Null is not written, so a record without it is the same as before this
+     * field.
+     */
+    private Long warmupLeftMs;
+
+    /** Creates a record without ordinal, version of weights and warm-up. */
     public static InstanceRecord of(
             String id,
             String service,
@@ -92,6 +99,23 @@
                 of(id, service, address, zone, capacity, version, newStage, heartbeatSequence);
         copy.ordinal = ordinal;
         copy.weightsVersion = weightsVersion;
+        copy.warmupLeftMs = warmupLeftMs;
+        return copy;
+    }
+
+    /** Returns how much longer the instance stays cold, in milliseconds; 0 if it is not cold. */
+    public long warmupLeftMs() {
+        return warmupLeftMs == null ? 0 : warmupLeftMs;
+    }
+
+    /** Returns this record with another remaining warm-up, in milliseconds; 0 or less for none. */
+    public InstanceRecord withWarmupLeftMs(long leftMs) {
+        long left = Math.max(0, leftMs);
+        if (left == warmupLeftMs()) {
+            return this;
+        }
+        InstanceRecord copy = withStage(stage);
+        copy.warmupLeftMs = left == 0 ? null : Long.valueOf(left);
         return copy;
     }
 
@@ -114,7 +138,7 @@
 
     /**
      * Returns whether something that balancers use differs from another record, which may be null;
-     * the sequence number is not compared.
+     * sequence number and remaining warm-up, which change all the time, are not compared.
      */
     public boolean differsFrom(InstanceRecord other) {
         return other == null
--- a/src/test/java/myrtleladder/controlplane/ControlPlaneTest.java
+++ b/src/test/java/myrtleladder/controlplane/ControlPlaneTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import myrtleladder.protocol.InstanceRecord;
 import myrtleladder.protocol.JoinRequest;
 import myrtleladder.protocol.Member;
 import myrtleladder.protocol.Message;
@@ -57,6 +58,29 @@
         assertEquals(1, responses.size());
     }
 
+    @Test
+    void waitingPollIsToldAtOnceThatAKnownUpstreamBecameCold() {
+        node.heartbeat("i", "ready", 1);
+        node.clock.run(4_000);
+        node.heartbeat("i", "ready", 2);
+        PollResponse first = firstPoll();
+        PollRequest poll =
+                new PollRequestBuilder()
+                        .generation(first.generation)
+                        .epoch(first.epoch)
+                        .instanceRevision(first.instanceRevision)
+                        .authoritativeList()
+                        .build();
+        List<Message> responses = node.receive(poll);
+        String body =
+                "{'backend':'s','address':'10.0.0.1:80','zone':'z','capacity':8,'state':'ready',"
+                        + "'sequence':3,'warmup_left_ms':3000}";
+        node.send(RecordedExchange.of("PUT", "/instances/i", body), 20);
+        assertEquals(1, responses.size());
+        InstanceRecord told = ((PollResponse) responses.get(0)).instances.get(0);
+        assertTrue(told.warmupLeftMs() >= 3_000, "left " + told.warmupLeftMs());
+    }
+
     @Test
     void balancersAndUpstreamsAreAnsweredWhileThePrimaryChangesItsView() {
         node.change("PUT", "0", "{'generation':3}");
--- a/src/test/java/myrtleladder/controlplane/InstanceRegistryTest.java
+++ b/src/test/java/myrtleladder/controlplane/InstanceRegistryTest.java
@@ -46,4 +46,57 @@
         registry.merge(record(Stage.DRAINING, 3), 2_000);
         assertEquals(1, registry.changedSince(knownRevision).size());
     }
+
+    private static InstanceRecord cold(long sequence, long warmupLeftMs) {
+        return record(Stage.READY, sequence).withWarmupLeftMs(warmupLeftMs);
+    }
+
+    private static long leftMs(InstanceRegistry registry, long nowMs) {
+        return registry.get("i", nowMs).warmupLeftMs();
+    }
+
+    @Test
+    void warmupThatBeginsOrBeginsAgainIsAChangeAndRunsOutOnThisClock() {
+        InstanceRegistry registry = new InstanceRegistry();
+        registry.merge(cold(1, 0), 10_000);
+        assertEquals(0, leftMs(registry, 10_000));
+        assertTrue(registry.merge(cold(2, 3_000), 11_000));
+        assertFalse(registry.merge(cold(3, 1_790), 12_200));
+        long leftMs = leftMs(registry, 12_200);
+        assertTrue(leftMs >= 1_800 && leftMs <= 2_000, "left " + leftMs);
+        assertTrue(registry.merge(cold(4, 3_000), 13_400));
+        assertEquals(0, leftMs(registry, 16_700));
+        assertFalse(registry.merge(cold(5, 0), 16_700));
+    }
+
+    @Test
+    void lateHeartbeatDoesNotEndAWarmup() {
+        InstanceRegistry registry = new InstanceRegistry();
+        registry.merge(cold(5, 3_000), 10_000);
+        assertFalse(registry.merge(cold(4, 0), 10_500));
+        registry.recover(List.of(cold(5, 0)), 10_600);
+        assertTrue(leftMs(registry, 10_600) >= 2_400);
+        assertTrue(registry.merge(cold(6, 0), 10_700));
+        assertEquals(0, leftMs(registry, 10_700));
+    }
+
+    @Test
+    void instancesOfAZoneTakenBackAreColdUntilTheirNextHeartbeat() {
+        InstanceRegistry registry = new InstanceRegistry();
+        registry.merge(cold(1, 0), 10_000);
+        assertEquals(0, registry.assumeCold("y", 2_400, 10_000).size());
+        assertTrue(registry.assumeCold("z", 2_400, 10_000).get(0).warmupLeftMs() >= 2_400);
+        assertTrue(registry.merge(cold(2, 0), 11_000));
+        assertEquals(0, leftMs(registry, 11_000));
+    }
+
+    @Test
+    void silentInstanceIsTakenForColdBeforeItIsLost() {
+        InstanceRegistry registry = new InstanceRegistry();
+        registry.merge(cold(1, 0), 10_000);
+        assertFalse(registry.assumeSilentAreCold(3_000, 2_400, 13_000));
+        assertTrue(registry.assumeSilentAreCold(3_000, 2_400, 13_001));
+        assertFalse(registry.assumeSilentAreCold(3_000, 2_400, 13_100));
+        assertTrue(leftMs(registry, 13_100) > 0);
+    }
 }
--- a/src/test/java/myrtleladder/process/NodeSettingsTest.java
+++ b/src/test/java/myrtleladder/process/NodeSettingsTest.java
@@ -56,6 +56,18 @@
         assertEquals(190_000, settings.bounds().quotaSlack());
     }
 
+    @Test
+    void boundsOfColdUpstreamsAreReadAndCheckedAndHaveDefaults() {
+        NodeSettings.Bounds defaults = NodeSettings.parse(COMPLETE).bounds();
+        assertEquals(1, defaults.warmupOverage());
+        assertEquals(0, defaults.warmupSlack());
+        String bounds = COMPLETE + "warmup_overage = 1.5\nwarmup_slack = 5\n";
+        assertEquals(1.5, NodeSettings.parse(bounds).bounds().warmupOverage());
+        assertEquals(5, NodeSettings.parse(bounds).bounds().warmupSlack());
+        String invalid = COMPLETE + "warmup_overage = -1\n";
+        assertThrows(SettingsException.class, () -> NodeSettings.parse(invalid));
+    }
+
     @Test
     void processListensAtItsOwnAddressAndCallsOthersAtTheirsByDefault() {
         InternalNetwork internal = NodeSettings.parse(COMPLETE).internal();
