Keep what a cold upstream gets from all balancers within its allowance

Callers saw an upstream that had just come up get many times what it withstands: it is idle, so the picks of all balancers went there at once. Now a few balancers own the budget of an upstream that may be cold, chosen by rendezvous hashing over the primary's list and so known everywhere without a message; each sends its fixed part in any second, checked at the pick and again as the request is sent, and the others send nothing. An upstream counts as possibly cold by its record, while it is lost, and after a failed connection or silence until its next heartbeat or until the primary has answered long enough to have reported it. A new owner waits until the former ones have stopped.

Two lists in use at once, as beside a cut, use half of the allowance each. Services without warmup_per_s are not limited. Counters and a log line tell the states.

--- a/src/main/java/myrtleladder/dataplane/Attempt.java
+++ b/src/main/java/myrtleladder/dataplane/Attempt.java
@@ -24,9 +24,7 @@
         ENDED
     }
 
-    /**
-     * Receives the events of an attempt, each on the event loop; one of the last three is final.
-     */
+    /** Receives the events of an attempt, each on the event loop; one of the last four is final. */
     interface Listener {
         /** The head of the response has come. */
         void onResponseHead(Attempt attempt, ResponseHead head);
@@ -40,6 +38,12 @@
         /** No connection could be had and nothing was sent. */
         void onNotSent(Attempt attempt);
 
+        /**
+         * Nothing was sent: the upstream became cold while the connection was opened, and its
+         * budget is spent.
+         */
+        void onWithheld(Attempt attempt);
+
         /** The connection was lost before the response was complete; the request may have run. */
         void onConnectionLost(Attempt attempt);
     }
@@ -155,7 +159,14 @@
         }
         connection = ready;
         connectTimer.cancel();
-        sentAtMs = scheduler.now();
+        long nowMs = scheduler.now();
+        if (!upstream().warmup().admits(0, nowMs)) {
+            cancel();
+            listener.onWithheld(this);
+            return;
+        }
+        upstream().warmup().recordSent(nowMs);
+        sentAtMs = nowMs;
         state = State.SENT;
         ready.send(head, body);
     }
--- a/src/main/java/myrtleladder/dataplane/ControlPoller.java
+++ b/src/main/java/myrtleladder/dataplane/ControlPoller.java
@@ -264,6 +264,7 @@
         hasAuthoritativeList =
                 response.authoritative || (hasAuthoritativeList && response.epoch == epoch);
         epoch = response.epoch;
+        dataPlane.pollAnswered(epoch);
         instanceRevision = response.instanceRevision;
         dataPlane
                 .directory()
@@ -277,6 +278,9 @@
         if (!response.balancerList.isEmpty()) {
             heartbeatAgent.setMembers(response.balancerList);
         }
+        if (response.authoritative && !response.balancerList.isEmpty()) {
+            dataPlane.setBalancerList(response.balancerList);
+        }
         dataPlane.setBalancers(response.balancerCount);
     }
 
--- a/src/main/java/myrtleladder/dataplane/DataPlane.java
+++ b/src/main/java/myrtleladder/dataplane/DataPlane.java
@@ -1,7 +1,9 @@
 package myrtleladder.dataplane;
 
+import java.util.List;
 import java.util.SplittableRandom;
 import myrtleladder.configuration.Configuration;
+import myrtleladder.protocol.BalancerAddress;
 import myrtleladder.scheduler.Scheduler;
 
 /**
@@ -20,6 +22,7 @@
     private final ConnectionPool connections;
     private final RetryBudget retryBudget;
     private final TenantQuotaClient quotas;
+    private final WarmupContext warmupContext;
     private final UpstreamDirectory directory;
     private final FleetLoadSync fleetLoads;
     private final PrefillTimeEstimator prefillTime = new PrefillTimeEstimator();
@@ -45,12 +48,16 @@
             RetryBudget retryBudget,
             TenantQuotaClient.QuotaAllocator allocator,
             WeightsRollout weightsRollout,
+            WarmupSettings warmupSettings,
             long seed) {
         this.scheduler = scheduler;
         this.connections = connections;
         this.retryBudget = retryBudget;
         this.quotas = new TenantQuotaClient(allocator, seed);
-        this.directory = new UpstreamDirectory(upstream -> connections.closeExpired());
+        this.warmupContext = new WarmupContext(warmupSettings);
+        this.directory =
+                new UpstreamDirectory(
+                        upstream -> connections.closeExpired(), warmupContext, scheduler);
         this.fleetLoads = new FleetLoadSync(directory, seed);
         this.picker =
                 new UpstreamPicker(directory, connections, fleetLoads, prefillTime, weightsRollout);
@@ -74,6 +81,7 @@
             nextReweightAtMs =
                     nowMs + REWEIGHT_INTERVAL_MS / 2 + random.nextLong(REWEIGHT_INTERVAL_MS);
             picker.reweight(nowMs);
+            warmupContext.counters().logStates(directory.all(), nowMs);
             connections.closeExpired();
         }
     }
@@ -97,6 +105,22 @@
         quotas.setBalancers(count);
     }
 
+    /** Replaces the list of balancers, among which budgets of cold upstreams are divided. */
+    void setBalancerList(List<BalancerAddress> balancers) {
+        warmupContext.setBalancers(balancers, nowMs());
+        directory.balancersChanged();
+    }
+
+    /** The primary of an epoch answered a poll. */
+    void pollAnswered(long epoch) {
+        warmupContext.pollAnswered(epoch, nowMs());
+    }
+
+    /** What the warm-ups of all upstreams share. */
+    WarmupContext warmup() {
+        return warmupContext;
+    }
+
     /** Milliseconds of the scheduler's monotonic clock. */
     long nowMs() {
         return scheduler.now();
--- a/src/main/java/myrtleladder/dataplane/Main.java
+++ b/src/main/java/myrtleladder/dataplane/Main.java
@@ -94,6 +94,11 @@
                         (request, timeoutMs, callback) ->
                                 poller.requestQuota(request, timeoutMs, callback),
                         new WeightsRollout(bounds.versionMs()),
+                        new WarmupSettings(
+                                settings.nodeName(),
+                                bounds.warmupOverage(),
+                                bounds.warmupSlack(),
+                                settings.heartbeatMs()),
                         System.nanoTime());
         PeerClient peers = new PeerClient(loop, settings.internal()::callAddress);
         HeartbeatAgent agent = new HeartbeatAgent(loop, peers, settings.nodeName());
@@ -195,7 +200,11 @@
         boolean isIdle = nowMs - idleSinceMs >= LAST_BYTES_MS;
         if (nowMs >= latestMs || (nowMs >= earliestMs && isIdle)) {
             int inFlight = dataPlane.activeRequests().size();
-            LOG.info("ends with {} under way; {}", inFlight, dataPlane.counters());
+            LOG.info(
+                    "ends with {} under way; {}; {}",
+                    inFlight,
+                    dataPlane.counters(),
+                    dataPlane.warmup().counters());
             terminated.countDown();
             return;
         }
--- a/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
+++ b/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
@@ -210,6 +210,18 @@
         current = null;
         attempt.upstream().connectionFailed(dataPlane.nowMs());
         count(Event.NOT_SENT);
+        retryUnsent();
+    }
+
+    @Override
+    public void onWithheld(Attempt attempt) {
+        if (attempt == current) {
+            current = null;
+            retryUnsent();
+        }
+    }
+
+    private void retryUnsent() {
         unsentAttempts++;
         if (unsentAttempts < MAX_UNSENT_ATTEMPTS) {
             tryNextUpstream();
@@ -408,7 +420,7 @@
         if (!dataPlane.unresponsiveDetector().isUnresponsive(current, service, nowMs)) {
             return;
         }
-        current.upstream().eject(nowMs);
+        current.upstream().becameUnresponsive(nowMs);
         if (shouldRetryFailure()) {
             count(Event.UNRESPONSIVE);
             Attempt unresponsive = current;
--- a/src/main/java/myrtleladder/dataplane/Upstream.java
+++ b/src/main/java/myrtleladder/dataplane/Upstream.java
@@ -17,6 +17,7 @@
     private static final double FULL_BACKLOG_MS = 1_000;
 
     private final int key;
+    private final UpstreamWarmup warmup;
     private final Set<Attempt> attempts = new HashSet<>();
     private final OutlierEjection ejection = new OutlierEjection();
     private final ExtraDelayEstimate extraDelay = new ExtraDelayEstimate();
@@ -30,8 +31,11 @@
     private long lastByteAtMs;
     private double inFlightAtLastRefresh;
 
-    Upstream(InstanceRecord record) {
+    /** Creates an upstream from its first record. */
+    Upstream(InstanceRecord record, WarmupContext warmupContext, long nowMs) {
         this.record = record;
+        this.warmup = new UpstreamWarmup(warmupContext, record.id);
+        this.warmup.recordReceived(record, true, nowMs);
         this.affinityHash = affinityHash(record);
         this.key = UpstreamLoad.keyOf(record.id);
     }
@@ -52,6 +56,20 @@
         affinityHash = affinityHash(next);
     }
 
+    /** Whether it may be cold, and what it may get meanwhile. */
+    UpstreamWarmup warmup() {
+        return warmup;
+    }
+
+    /** Whether one more request may be sent there, with those that wait for a connection. */
+    boolean admitsRequest(long nowMs) {
+        int connecting = 0;
+        for (Attempt attempt : attempts) {
+            connecting += attempt.state() == Attempt.State.CONNECTING ? 1 : 0;
+        }
+        return warmup.admits(connecting, nowMs);
+    }
+
     /** The number by which balancers name this incarnation to each other. */
     int key() {
         return key;
@@ -185,11 +203,17 @@
     /** No connection could be had, which ejects the upstream at once. */
     void connectionFailed(long nowMs) {
         ejection.recordFailure();
+        becameUnresponsive(nowMs);
+    }
+
+    /** Nothing is heard of the upstream, which ejects it: it may be down and come back cold. */
+    void becameUnresponsive(long nowMs) {
         eject(nowMs);
+        warmup.markUnconfirmed(nowMs);
     }
 
     /** Ejects the upstream unless it is ejected already; its cache may be lost. */
-    void eject(long nowMs) {
+    private void eject(long nowMs) {
         if (ejection.eject(nowMs)) {
             prefixCache.clearSent();
         }
--- a/src/main/java/myrtleladder/dataplane/UpstreamDirectory.java
+++ b/src/main/java/myrtleladder/dataplane/UpstreamDirectory.java
@@ -17,6 +17,7 @@
 import myrtleladder.protocol.InstanceRecord;
 import myrtleladder.protocol.InstanceRecord.Stage;
 import myrtleladder.protocol.UpstreamLoad;
+import myrtleladder.scheduler.Scheduler;
 
 /**
  * The upstreams that this balancer knows, by service. An incarnation that drains or is gone never
@@ -31,27 +32,45 @@
     private final Set<String> leftIds = new HashSet<>();
     private final Set<Upstream> leavingUpstreams = new LinkedHashSet<>();
     private final Consumer<Upstream> onLeft;
+    private final WarmupContext warmupContext;
+    private final Scheduler scheduler;
     private Configuration configuration;
 
     /** Creates a directory; {@code onLeft} receives upstreams that take no more requests. */
-    UpstreamDirectory(Consumer<Upstream> onLeft) {
+    UpstreamDirectory(Consumer<Upstream> onLeft, WarmupContext warmupContext, Scheduler scheduler) {
         this.onLeft = onLeft;
+        this.warmupContext = warmupContext;
+        this.scheduler = scheduler;
     }
 
-    /** Takes the engines of services that were not configured before. */
+    /** Takes the engines of services that were not configured before, and limits of warm-ups. */
     void applyConfiguration(Configuration next) {
         configuration = next;
-        for (Upstream upstream : byId.values()) {
-            if (!upstream.hasEngine()) {
-                upstream.setEngine(engineOf(upstream.record()));
-            }
+        byId.values().forEach(this::applyService);
+    }
+
+    private void applyService(Upstream upstream) {
+        String name = upstream.record().service;
+        Service service = configuration == null ? null : configuration.service(name);
+        if (service != null && !upstream.hasEngine()) {
+            upstream.setEngine(service.engine());
         }
+        upstream.warmup().setAllowance(warmupContext.allowance(service));
+    }
+
+    /** Takes a new list of balancers, among which budgets of cold upstreams are divided. */
+    void balancersChanged() {
+        long sinceMs = warmupContext.ownership().changedAtMs();
+        byId.values().forEach(upstream -> upstream.warmup().updateOwnership(sinceMs));
     }
 
-    /** The engine of a record's service, null if it has none or is not configured. */
-    private Service.Engine engineOf(InstanceRecord record) {
-        Service service = configuration == null ? null : configuration.service(record.service);
-        return service == null ? null : service.engine();
+    /** Takes the upstreams of a zone that was evacuated for cold until the primary denies it. */
+    void zoneReturned(String zone) {
+        for (Upstream upstream : byId.values()) {
+            if (upstream.record().zone.equals(zone)) {
+                upstream.warmup().markUnconfirmed(scheduler.now());
+            }
+        }
     }
 
     /**
@@ -89,11 +108,19 @@
                 remove(known, record.stage);
             }
         } else if (known == null) {
-            Upstream created = new Upstream(record);
-            created.setEngine(engineOf(record));
+            Upstream created = new Upstream(record, warmupContext, scheduler.now());
+            applyService(created);
             byId.put(record.id, created);
-        } else if (known.record().heartbeatSequence <= record.heartbeatSequence
-                || known.record().stage != record.stage) {
+        } else {
+            updateRecord(known, record);
+        }
+    }
+
+    private void updateRecord(Upstream known, InstanceRecord record) {
+        long knownSequence = known.record().heartbeatSequence;
+        boolean isNewer = record.heartbeatSequence > knownSequence;
+        known.warmup().recordReceived(record, isNewer, scheduler.now());
+        if (knownSequence <= record.heartbeatSequence || known.record().stage != record.stage) {
             known.updateRecord(record);
         }
     }
--- a/src/main/java/myrtleladder/dataplane/UpstreamPicker.java
+++ b/src/main/java/myrtleladder/dataplane/UpstreamPicker.java
@@ -12,10 +12,10 @@
 import myrtleladder.protocol.UpstreamLoad;
 
 /**
- * Picks the upstream of a request. Candidates are narrowed by health, connections and, for model
- * services, the expected time to the first event; among those left, picks go by weight / (in-flight
- * + 1)^bias, earliest deadline first ({@link EarliestDeadlineFirstScheduler}). Confined to the
- * event loop.
+ * Picks the upstream of a request. Candidates are narrowed by health, connections, the budgets of
+ * cold upstreams and, for model services, the expected time to the first event; among those left,
+ * picks go by weight / (in-flight + 1)^bias, earliest deadline first ({@link
+ * EarliestDeadlineFirstScheduler}). Confined to the event loop.
  */
 final class UpstreamPicker {
     /** Bias for model services; chosen so that a clearly shorter queue nearly always wins. */
@@ -126,7 +126,10 @@
                     connections.idleConnections(upstream) > 0
                             || connections.openConnections(upstream) < limit;
             boolean healthy = panic || !upstream.isEjected(nowMs);
-            if (!tried.contains(upstream) && connectable && healthy) {
+            if (!tried.contains(upstream)
+                    && connectable
+                    && healthy
+                    && upstream.admitsRequest(nowMs)) {
                 candidates.add(upstream);
             }
         }
--- a/src/test/java/myrtleladder/dataplane/ControlPollerTest.java
+++ b/src/test/java/myrtleladder/dataplane/ControlPollerTest.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import myrtleladder.configuration.Compression;
 import myrtleladder.heartbeat.HeartbeatAgent;
+import myrtleladder.protocol.BalancerAddress;
 import myrtleladder.protocol.Message;
 import myrtleladder.protocol.PollRequest;
 import myrtleladder.protocol.PollResponse;
@@ -162,4 +163,15 @@
         clock.run(60);
         assertEquals("c:1", lastPolledNode());
     }
+
+    @Test
+    void listOfAPrimaryThatHasNotHeardAllBalancersGivesNoShareOfColdUpstreams() {
+        PollResponse response = response(3, 0);
+        response.balancerList = List.of(BalancerAddress.of("e", "e:1"));
+        pendingCallback.accept(response);
+        assertEquals(0, dataPlane.warmup().ownership().balancers());
+        response.authoritative = true;
+        pendingCallback.accept(response);
+        assertEquals(1, dataPlane.warmup().ownership().balancers());
+    }
 }
--- a/src/test/java/myrtleladder/dataplane/DataPlaneContext.java
+++ b/src/test/java/myrtleladder/dataplane/DataPlaneContext.java
@@ -28,6 +28,7 @@
                         new RetryBudget(0.2, 100),
                         (request, timeoutMs, callback) -> callback.accept(quotaResponse),
                         new WeightsRollout(builder.versionBoundMs),
+                        builder.warmupSettings,
                         builder.seed);
         if (builder.configuration != null) {
             dataPlane.applyConfiguration(builder.configuration);
@@ -48,6 +49,12 @@
                 .build();
     }
 
+    /** A directory without upstreams, which tells nobody who left. */
+    static UpstreamDirectory emptyDirectory() {
+        WarmupSettings settings = new WarmupSettings("e", 1, 0, 1_200);
+        return new UpstreamDirectory(u -> {}, new WarmupContext(settings), new ManualScheduler());
+    }
+
     /** Reads a document that is written with single quotes. */
     static Configuration configuration(String document) {
         byte[] bytes = document.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
@@ -83,6 +90,7 @@
         private Configuration configuration;
         private long seed = 1;
         private long versionBoundMs;
+        private WarmupSettings warmupSettings = new WarmupSettings("e", 1, 0, 1_200);
 
         /** Shares a clock with other contexts. */
         Builder withClock(ManualScheduler shared) {
@@ -101,6 +109,11 @@
             return this;
         }
 
+        Builder withWarmupSettings(WarmupSettings value) {
+            warmupSettings = value;
+            return this;
+        }
+
         Builder withConfiguration(String document) {
             configuration = configuration(document);
             return this;
--- a/src/test/java/myrtleladder/dataplane/FleetLoadSyncTest.java
+++ b/src/test/java/myrtleladder/dataplane/FleetLoadSyncTest.java
@@ -20,7 +20,7 @@
     private static final long NOW_MS = 50_000;
     private static final PromptSegments PROMPT = PromptSegments.parse("a:5000,b:300");
 
-    private final UpstreamDirectory directory = new UpstreamDirectory(u -> {});
+    private final UpstreamDirectory directory = DataPlaneContext.emptyDirectory();
     private final FleetLoadSync fleetLoads = new FleetLoadSync(directory, 1);
     private Upstream upstream;
 
--- a/src/test/java/myrtleladder/dataplane/ScriptedConnectionPool.java
+++ b/src/test/java/myrtleladder/dataplane/ScriptedConnectionPool.java
@@ -13,6 +13,11 @@
     boolean refusesConnections;
     boolean neverConnects;
 
+    /** Connections wait for {@link #establishHeld}. */
+    boolean holdsConnections;
+
+    private final List<SentRequest> held = new ArrayList<>();
+
     /** A request that an upstream received. */
     final class SentRequest implements PooledConnection {
         final Upstream upstream;
@@ -86,12 +91,19 @@
         SentRequest link = new SentRequest(upstream, listener);
         if (refusesConnections) {
             listener.onConnectFailed();
+        } else if (holdsConnections) {
+            held.add(link);
         } else if (!neverConnects) {
             listener.onConnectionReady(link);
         }
         return link;
     }
 
+    void establishHeld() {
+        held.forEach(link -> link.listener.onConnectionReady(link));
+        held.clear();
+    }
+
     @Override
     public int openConnections(Upstream upstream) {
         return 0;
--- a/src/test/java/myrtleladder/dataplane/UpstreamPickerTest.java
+++ b/src/test/java/myrtleladder/dataplane/UpstreamPickerTest.java
@@ -28,7 +28,7 @@
 
     /** What one balancer knows. */
     private static final class Balancer {
-        private final UpstreamDirectory directory = new UpstreamDirectory(u -> {});
+        private final UpstreamDirectory directory = DataPlaneContext.emptyDirectory();
         private final FleetLoadSync fleetLoads = new FleetLoadSync(directory, 1);
         private final UpstreamPicker picker =
                 new UpstreamPicker(
