--- a/src/main/java/myrtleladder/controlplane/DrainRequestHandler.java
+++ b/src/main/java/myrtleladder/controlplane/DrainRequestHandler.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import myrtleladder.http.ServerExchange;
 import myrtleladder.replication.Replica;
@@ -26,11 +27,22 @@
 
     private final OperatorRequestQueue queue;
     private final CommittedConfiguration committed;
+    private final Consumer<String> beforeTakeBack;
     private Replica replica;
 
-    DrainRequestHandler(OperatorRequestQueue queue, CommittedConfiguration committed) {
+    /**
+     * Creates a handler.
+     *
+     * @param beforeTakeBack takes the name of a zone before balancers may learn that it is taken
+     *     back; also if that was ordered before, since the outcome may have been unknown then
+     */
+    DrainRequestHandler(
+            OperatorRequestQueue queue,
+            CommittedConfiguration committed,
+            Consumer<String> beforeTakeBack) {
         this.queue = queue;
         this.committed = committed;
+        this.beforeTakeBack = beforeTakeBack;
     }
 
     /** Sets the replica that stores the drained zones; has to precede all else. */
@@ -53,21 +65,28 @@
 
     private void process(ServerExchange exchange, String zone, Runnable onProcessed) {
         SortedSet<String> zones = new TreeSet<>(committed.drainedZones());
-        boolean isChange =
-                exchange.head().method().equals(DRAIN) ? zones.add(zone) : zones.remove(zone);
+        boolean isTakeBack = exchange.head().method().equals(TAKE_BACK);
+        boolean isChange = isTakeBack ? zones.remove(zone) : zones.add(zone);
+        Runnable beforeCommit = isTakeBack ? () -> beforeTakeBack.accept(zone) : () -> {};
+        beforeCommit.run();
         if (isChange) {
-            replicate(exchange, List.copyOf(zones), onProcessed);
+            replicate(exchange, List.copyOf(zones), beforeCommit, onProcessed);
         } else {
             HttpResponses.acknowledge(exchange);
             onProcessed.run();
         }
     }
 
-    private void replicate(ServerExchange exchange, List<String> zones, Runnable onProcessed) {
+    private void replicate(
+            ServerExchange exchange,
+            List<String> zones,
+            Runnable beforeCommit,
+            Runnable onProcessed) {
         replica.submit(
                 StateChange.toDrainedZones(replica.snapshot(), zones),
                 isCommitted -> {
                     if (isCommitted) {
+                        beforeCommit.run();
                         committed.commit(replica.snapshot());
                         LOG.info("drained zones are {} in epoch {}", zones, replica.epoch());
                         HttpResponses.acknowledge(exchange);
--- a/src/main/java/myrtleladder/dataplane/Attempt.java
+++ b/src/main/java/myrtleladder/dataplane/Attempt.java
@@ -38,7 +38,10 @@
         /** No connection could be had and nothing was sent. */
         void onNotSent(Attempt attempt);
 
-        /** It was withdrawn before anything was sent, through no fault of the upstream. */
+        /**
+         * It ended before anything was sent, through no fault of the upstream: its zone was
+         * drained, or it became cold and its budget is spent.
+         */
         void onWithdrawn(Attempt attempt);
 
         /** The connection was lost before the response was complete; the request may have run. */
@@ -164,7 +167,14 @@
         }
         connection = ready;
         connectTimer.cancel();
-        sentAtMs = scheduler.now();
+        long nowMs = scheduler.now();
+        if (!upstream().warmup().admits(0, nowMs)) {
+            cancel();
+            listener.onWithdrawn(this);
+            return;
+        }
+        upstream().warmup().recordSent(nowMs);
+        sentAtMs = nowMs;
         state = State.SENT;
         ready.send(head, body);
     }
--- a/src/main/java/myrtleladder/dataplane/ControlPoller.java
+++ b/src/main/java/myrtleladder/dataplane/ControlPoller.java
@@ -266,6 +266,7 @@
         hasAuthoritativeList =
                 response.authoritative || (hasAuthoritativeList && response.epoch == epoch);
         epoch = response.epoch;
+        dataPlane.pollAnswered(epoch);
         instanceRevision = response.instanceRevision;
         if (response.drainedZones != null) {
             dataPlane.directory().applyDrainedZones(response.drainedZones.names);
@@ -282,6 +283,9 @@
         if (!response.balancerList.isEmpty()) {
             heartbeatAgent.setMembers(response.balancerList);
         }
+        if (response.authoritative && !response.balancerList.isEmpty()) {
+            dataPlane.setBalancerList(response.balancerList);
+        }
         dataPlane.setBalancers(response.balancerCount);
     }
 
--- a/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
+++ b/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
@@ -210,6 +210,10 @@
         current = null;
         attempt.upstream().connectionFailed(dataPlane.nowMs());
         count(Event.NOT_SENT);
+        retryUnsent();
+    }
+
+    private void retryUnsent() {
         unsentAttempts++;
         if (unsentAttempts < MAX_UNSENT_ATTEMPTS) {
             tryNextUpstream();
@@ -225,7 +229,7 @@
         }
         current = null;
         triedUpstreams.remove(attempt.upstream());
-        tryNextUpstream();
+        retryUnsent();
     }
 
     @Override
@@ -418,7 +422,7 @@
         if (!dataPlane.unresponsiveDetector().isUnresponsive(current, service, nowMs)) {
             return;
         }
-        current.upstream().eject(nowMs);
+        current.upstream().becameUnresponsive(nowMs);
         if (shouldRetryFailure()) {
             count(Event.UNRESPONSIVE);
             Attempt unresponsive = current;
--- a/src/test/java/myrtleladder/controlplane/DrainRequestTest.java
+++ b/src/test/java/myrtleladder/controlplane/DrainRequestTest.java
@@ -1,6 +1,7 @@
 package myrtleladder.controlplane;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import myrtleladder.protocol.DrainedZones;
@@ -23,9 +24,24 @@
     }
 
     private List<String> zonesPolled() {
+        return poll().drainedZones.names;
+    }
+
+    private PollResponse poll() {
         PollRequest poll = new PollRequestBuilder().build();
         poll.immediate = true;
-        return ((PollResponse) node.receive(poll).get(0)).drainedZones.names;
+        return (PollResponse) node.receive(poll).get(0);
+    }
+
+    @Test
+    void upstreamsOfAZoneTakenBackAreColdUntilTheirNextHeartbeat() {
+        node.heartbeat("i", "ready", 1);
+        assertEquals(200, order("POST", "z"));
+        assertEquals(0, poll().instances.get(0).warmupLeftMs());
+        assertEquals(200, order("DELETE", "z"));
+        assertTrue(poll().instances.get(0).warmupLeftMs() > 0);
+        node.heartbeat("i", "ready", 2);
+        assertEquals(0, poll().instances.get(0).warmupLeftMs());
     }
 
     @Test
--- a/src/test/java/myrtleladder/dataplane/DrainedZoneTest.java
+++ b/src/test/java/myrtleladder/dataplane/DrainedZoneTest.java
@@ -74,7 +74,9 @@
     @Test
     void ejectedUpstreamIsTriedRatherThanADrainedOne() {
         directory.applyDrainedZones(EAST);
-        directory.available("p").forEach(upstream -> upstream.eject(context.clock.now()));
+        directory
+                .available("p")
+                .forEach(upstream -> upstream.becameUnresponsive(context.clock.now()));
         context.send("/u/1");
         assertEquals("p3", lastUpstream());
     }
