Pull additions from one peer after the other, and tell only what is asked

All pulls of a node went out at the same moments, so that the same additions came back from several peers. They are now spread over the interval, and a push and its answer carry the positions they are about, not whole vectors.

--- a/src/main/java/myrtleladder/protocol/TallyStateSummary.java
+++ b/src/main/java/myrtleladder/protocol/TallyStateSummary.java
@@ -14,10 +14,10 @@
     /** Identity of the process, drawn at its start; what it said before that start is void. */
     public String process = "";
 
-    /** The additions in memory, as a version vector. */
+    /** The additions in memory, as a version vector or a part of one. */
     public List<TallyPosition> known = new ArrayList<>();
 
-    /** The positions up to which additions are on the disk, where that is less than known. */
+    /** The positions up to which additions are on the disk, where that is behind {@link #known}. */
     public List<TallyPosition> durable = new ArrayList<>();
 
     /** Creates a summary from its parts. */
--- a/src/main/java/myrtleladder/protocol/TallySyncRequest.java
+++ b/src/main/java/myrtleladder/protocol/TallySyncRequest.java
@@ -13,7 +13,7 @@
  * TallySyncResponse}.
  */
 public final class TallySyncRequest implements Message {
-    /** What the sender has. */
+    /** What the sender has; no additions are told if any are awaited. */
     public TallyStateSummary sender = new TallyStateSummary();
 
     /** Additions that the receiver may lack, those of a replica in their order. */
--- a/src/main/java/myrtleladder/tally/AdditionPusher.java
+++ b/src/main/java/myrtleladder/tally/AdditionPusher.java
@@ -38,7 +38,7 @@
     /** Is told of the outcome of pushes. */
     interface Listener {
         /** A peer has answered. */
-        void onAnswered(TallyPeer peer, TallySyncResponse response);
+        void onPushed(TallyPeer peer, TallySyncResponse response);
 
         /** A peer has not answered. */
         void onPushFailed(TallyPeer peer);
@@ -106,7 +106,7 @@
         push.isInFlight = false;
         if (answer instanceof TallySyncResponse response) {
             long missingBefore = peer.known().countMissing(push.wanted);
-            listener.onAnswered(peer, response);
+            listener.onPushed(peer, response);
             boolean hasProgressed = peer.known().countMissing(push.wanted) < missingBefore;
             long delayMs = hasProgressed ? 0 : RETRY_DELAY_MS;
             scheduler.schedule(delayMs, () -> sendIfReachable(peer, push));
--- a/src/main/java/myrtleladder/tally/AntiEntropy.java
+++ b/src/main/java/myrtleladder/tally/AntiEntropy.java
@@ -1,5 +1,8 @@
 package myrtleladder.tally;
 
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Supplier;
 import myrtleladder.protocol.Message;
 import myrtleladder.protocol.TallyStateSummary;
@@ -9,13 +12,13 @@
 import myrtleladder.scheduler.Scheduler;
 
 /**
- * Pulls from each peer, over and over, the additions that this node lacks. The bytes grow with the
- * difference: a request carries a version vector, its answer what the vector lacks. While one peer
- * has much to give, the others are asked for their vectors only, so that nothing is sent several
- * times. Confined to the event loop.
+ * Pulls from one peer after the other, over and over, the additions that this node lacks. The bytes
+ * grow with the difference: a request carries a version vector, its answer what the vector lacks.
+ * While one peer has much to give, the others are asked for their vectors only, so that nothing is
+ * sent several times. Confined to the event loop.
  */
 final class AntiEntropy {
-    /** Time from one request to a peer to the next, in milliseconds. */
+    /** Time in which each peer gets its turn, in milliseconds. */
     static final long INTERVAL_MS = 300;
 
     /** Timeout of a request, in milliseconds. */
@@ -34,13 +37,16 @@
     private final Supplier<TallyStateSummary> summary;
     private final Listener listener;
 
+    private final Set<TallyPeer> inFlight = new HashSet<>();
+    private int turn;
+
     /** The peer that has more to give than one answer carries, null for none. */
     private TallyPeer bulkSource;
 
     /** Is told of the outcome of requests. */
     interface Listener {
         /** A peer has answered. */
-        void onAnswered(TallyPeer peer, TallySyncResponse response);
+        void onPulled(TallyPeer peer, TallySyncResponse response);
 
         /** A peer has not answered a request that was sent at a time. */
         void onUnanswered(TallyPeer peer, long sentAtMs);
@@ -59,10 +65,27 @@
         this.listener = listener;
     }
 
-    /** Begins to pull from a peer, until it is forgotten. */
-    void begin(TallyPeer peer) {
-        if (!peers.contains(peer)) {
-            updateBulkSource(peer, false);
+    /** Starts to pull from one peer after the other. */
+    void start() {
+        long turnMs = INTERVAL_MS / Math.max(1, peers.all().size());
+        scheduler.schedule(turnMs, this::start);
+        pullFromNext();
+    }
+
+    private void pullFromNext() {
+        List<TallyPeer> all = List.copyOf(peers.all());
+        for (int i = 0; i < all.size(); i++) {
+            TallyPeer next = all.get(turn++ % all.size());
+            if (!inFlight.contains(next)) {
+                pull(next);
+                return;
+            }
+        }
+    }
+
+    /** Pulls from a peer now, unless a request to it is in flight. */
+    void pull(TallyPeer peer) {
+        if (!inFlight.add(peer)) {
             return;
         }
         boolean isPulling = bulkSource == null || bulkSource == peer;
@@ -74,18 +97,23 @@
     }
 
     private void onAnswer(TallyPeer peer, long sentAtMs, Message answer) {
-        long elapsedMs = scheduler.now() - sentAtMs;
-        if (answer instanceof TallySyncResponse response) {
-            updateBulkSource(peer, response.additions.size() >= MAX_ADDITIONS);
-            listener.onAnswered(peer, response);
-        } else {
+        inFlight.remove(peer);
+        if (!(answer instanceof TallySyncResponse response)) {
             updateBulkSource(peer, false);
-            if (elapsedMs <= TIMEOUT_MS + SUSPENSION_MS) {
-                listener.onUnanswered(peer, sentAtMs);
-            }
+            onUnanswered(peer, sentAtMs);
+            return;
+        }
+        updateBulkSource(peer, response.additions.size() >= MAX_ADDITIONS);
+        listener.onPulled(peer, response);
+        if (bulkSource == peer) {
+            scheduler.schedule(0, () -> pull(peer));
+        }
+    }
+
+    private void onUnanswered(TallyPeer peer, long sentAtMs) {
+        if (scheduler.now() - sentAtMs <= TIMEOUT_MS + SUSPENSION_MS) {
+            listener.onUnanswered(peer, sentAtMs);
         }
-        long delayMs = bulkSource == peer ? 0 : INTERVAL_MS - elapsedMs;
-        scheduler.schedule(delayMs, () -> begin(peer));
     }
 
     private void updateBulkSource(TallyPeer peer, boolean hasMore) {
--- a/src/main/java/myrtleladder/tally/Tallies.java
+++ b/src/main/java/myrtleladder/tally/Tallies.java
@@ -35,6 +35,8 @@
     /** A longer time between two looks at the peers means that the process was suspended. */
     private static final long SUSPENSION_MS = 2 * AntiEntropy.INTERVAL_MS;
 
+    private static final List<String> NO_REPLICAS = List.of();
+
     private final TallyOptions options;
     private final Scheduler scheduler;
     private final TallySet additions = new TallySet();
@@ -70,7 +72,13 @@
         catchUp = new CatchUp(additions, peers, onDisk.isEmpty() && !options.bootstrap());
         ExchangeListener listener = new ExchangeListener();
         AdditionPusher pusher =
-                new AdditionPusher(scheduler, transport, peers, additions, this::summary, listener);
+                new AdditionPusher(
+                        scheduler,
+                        transport,
+                        peers,
+                        additions,
+                        () -> summaryOf(NO_REPLICAS),
+                        listener);
         DurabilityRule rule = new DurabilityRule(options, peers, durable);
         pending = new PendingAdditions(scheduler, options, peers, rule, pusher);
         antiEntropy = new AntiEntropy(scheduler, transport, peers, this::summary, listener);
@@ -86,6 +94,7 @@
         isStarted = true;
         lastLookMs = scheduler.now();
         updatePeers();
+        antiEntropy.start();
         catchUp.start(List.copyOf(peers.all()));
         scheduler.schedule(AntiEntropy.INTERVAL_MS, this::lookAtPeers);
     }
@@ -103,7 +112,7 @@
     private void updatePeers() {
         Set<String> addresses = new LinkedHashSet<>(options.seeds());
         addresses.addAll(memberAddresses.get());
-        peers.update(addresses, scheduler.now()).forEach(antiEntropy::begin);
+        peers.update(addresses, scheduler.now()).forEach(antiEntropy::pull);
     }
 
     /**
@@ -180,13 +189,14 @@
 
     private void learnSender(TallyStateSummary sender) {
         if (peers.isNew(sender.address)) {
-            antiEntropy.begin(peers.add(sender.address, scheduler.now()));
+            antiEntropy.pull(peers.add(sender.address, scheduler.now()));
         }
         peers.get(sender.address).learn(sender);
     }
 
     private void answerOnceDurable(VersionVector awaited, Consumer<Message> answer) {
-        Runnable respond = () -> answer.accept(TallySyncResponse.of(summary(), List.of()));
+        Runnable respond =
+                () -> answer.accept(TallySyncResponse.of(summaryOf(awaited.replicas()), List.of()));
         if (additions.vector().includes(awaited)) {
             durable.whenDurable(awaited, SYNC_WAIT_MS, respond);
         } else {
@@ -195,12 +205,18 @@
     }
 
     private TallyStateSummary summary() {
+        return summaryOf(additions.vector().replicas());
+    }
+
+    /** What this node tells of itself and of its additions of some replicas. */
+    private TallyStateSummary summaryOf(Collection<String> replicas) {
+        VersionVector known = additions.vector().only(replicas);
         return TallyStateSummary.of(
                 options.address(),
                 options.zone(),
                 options.process(),
-                additions.vector().toPositions(),
-                durable.vector().positionsBehind(additions.vector()));
+                known.toPositions(),
+                durable.vector().positionsBehind(known));
     }
 
     private void checkProgress() {
@@ -237,14 +253,24 @@
     /** Takes the outcome of exchanges that this node began. */
     private final class ExchangeListener implements AntiEntropy.Listener, AdditionPusher.Listener {
         @Override
-        public void onAnswered(TallyPeer peer, TallySyncResponse response) {
-            peer.learn(response.sender);
-            countChange(peer.onAnswered(scheduler.now()));
+        public void onPulled(TallyPeer peer, TallySyncResponse response) {
+            onAnswered(peer, response.sender);
             catchUp.onAnswered(peer);
             merge(response.additions);
             checkProgress();
         }
 
+        @Override
+        public void onPushed(TallyPeer peer, TallySyncResponse response) {
+            onAnswered(peer, response.sender);
+            checkProgress();
+        }
+
+        private void onAnswered(TallyPeer peer, TallyStateSummary sender) {
+            peer.learn(sender);
+            countChange(peer.onAnswered(scheduler.now()));
+        }
+
         @Override
         public void onUnanswered(TallyPeer peer, long sentAtMs) {
             boolean hasChanged = peer.onUnanswered(sentAtMs, scheduler.now());
--- a/src/main/java/myrtleladder/tally/VersionVector.java
+++ b/src/main/java/myrtleladder/tally/VersionVector.java
@@ -1,9 +1,12 @@
 package myrtleladder.tally;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import myrtleladder.protocol.TallyPosition;
 
 /**
@@ -48,6 +51,18 @@
                 .allMatch(entry -> includes(entry.getKey(), entry.getValue()));
     }
 
+    /** Returns the replicas that have an entry. */
+    Set<String> replicas() {
+        return Collections.unmodifiableSet(sequenceByReplica.keySet());
+    }
+
+    /** Returns a copy with the entries of some replicas. */
+    VersionVector only(Collection<String> replicas) {
+        VersionVector part = new VersionVector();
+        replicas.forEach(replica -> part.raise(replica, get(replica)));
+        return part;
+    }
+
     /** Returns how many additions of the other vector are not known. */
     long countMissing(VersionVector other) {
         long missing = 0;
