--- a/src/main/java/myrtleladder/tally/AntiEntropy.java
+++ b/src/main/java/myrtleladder/tally/AntiEntropy.java
@@ -67,8 +67,12 @@
 
     /** Starts to pull from one peer after the other. */
     void start() {
+        takeTurn();
+    }
+
+    private void takeTurn() {
         long turnMs = INTERVAL_MS / Math.max(1, peers.all().size());
-        scheduler.schedule(turnMs, this::start);
+        scheduler.schedule(turnMs, this::takeTurn);
         pullFromNext();
     }
 
