--- a/src/test/java/myrtleladder/controlplane/SoakSchedule.java
+++ b/src/test/java/myrtleladder/controlplane/SoakSchedule.java
@@ -110,6 +110,7 @@
             case KILL_ALL -> killAll();
             case CUT -> cut(500 + random.nextLong(MAX_CUT_MS));
             case CALM -> waitForCalm();
+            default -> throw new IllegalArgumentException(kind.name());
         }
     }
 
