Record the start of a cut in the soak before its first link is cut

An acknowledgement between the two would have counted as one outside of the cut, and its loss with the disk as a violation. Found on reading; not seen.

--- a/src/test/java/myrtleladder/controlplane/SoakRun.java
+++ b/src/test/java/myrtleladder/controlplane/SoakRun.java
@@ -177,9 +177,12 @@
             }
             processes.start(restart.process(), false);
             returning.put(restart.process(), true);
+        } else if (fault instanceof Fault.HealAll) {
+            proxy.bring(fault);
+            updateCut(false);
         } else {
+            updateCut(true);
             proxy.bring(fault);
-            updateCut(!(fault instanceof Fault.HealAll));
         }
     }
 
