--- a/src/main/java/myrtleladder/dataplane/Upstream.java
+++ b/src/main/java/myrtleladder/dataplane/Upstream.java
@@ -63,6 +63,9 @@
 
     /** Whether one more request may be sent there, with those that wait for a connection. */
     boolean admitsRequest(long nowMs) {
+        if (!warmup.isLimited(nowMs)) {
+            return true; // the common case costs no count
+        }
         int connecting = 0;
         for (Attempt attempt : attempts) {
             connecting += attempt.state() == Attempt.State.CONNECTING ? 1 : 0;
--- a/src/main/java/myrtleladder/dataplane/UpstreamWarmup.java
+++ b/src/main/java/myrtleladder/dataplane/UpstreamWarmup.java
@@ -84,10 +84,12 @@
         long untilMs = nowMs + record.warmupLeftMs();
         if (record.stage == InstanceRecord.Stage.LOST) {
             transitionTo(State.LOST);
-        } else if (isNewer) {
+        } else if (isNewer && record.warmupLeftMs() == 0) {
             failedAtMs = NEVER;
+            transitionTo(State.WARM);
+        } else if (isNewer) {
             coldUntilMs = untilMs;
-            transitionTo(untilMs > nowMs ? State.COLD : State.WARM);
+            transitionTo(State.COLD);
         } else if (record.warmupLeftMs() > 0) {
             coldUntilMs = Math.max(coldUntilMs, untilMs);
             transitionTo(State.COLD);
--- a/src/test/java/myrtleladder/dataplane/ColdUpstreamTest.java
+++ b/src/test/java/myrtleladder/dataplane/ColdUpstreamTest.java
@@ -114,17 +114,17 @@
 
     @Test
     void listsThatChangeWhileAnUpstreamIsColdDoNotAddUp() {
-        startFleet(24);
+        startFleet(36);
         clock.run(1_000);
         tellRecord(record(Stage.READY, 2, 20_000));
-        for (int round = 0; round < 20; round++) {
-            int left = round % 8;
-            tellList(0, 12, left, 24);
-            play(200);
-            tellList(12, 24, left, 24);
+        for (int round = 0; round < 12; round++) {
+            int firstListed = round % 3 * 12;
+            tellList(0, 36, firstListed, firstListed + 12);
             play(300);
         }
         assertWithinAllowance();
+        play(4_000);
+        assertTrue(sentAtMs.size() >= PER_SECOND, "used: " + sentAtMs.size());
     }
 
     @Test
@@ -140,16 +140,19 @@
     }
 
     @Test
-    void balancerThatRestartsDoesNotSpendItsPartTwice() {
+    void balancersThatRestartDoNotSpendTheirPartsTwice() {
         startFleet(6);
         clock.run(1_000);
         tellRecord(record(Stage.READY, 2, 9_000));
-        for (int round = 0; round < 12; round++) {
-            fleet.set(round % 6, start(round % 6));
-            fleet.get(round % 6).update(record(Stage.READY, 2, 9_000 - 500L * round));
-            tellList(round % 6, round % 6 + 1, 0, 6);
-            play(500);
+        for (int restart = 0; restart < 8; restart++) {
+            play(200);
+            for (int i = 0; i < 6; i++) {
+                fleet.set(i, start(i));
+            }
+            tellRecord(record(Stage.READY, 2, 5_000));
+            tellList(0, 6, 0, 6);
         }
+        play(3_000);
         assertWithinAllowance();
     }
 
