Let faults follow the acknowledgement at once in the tests of partitions

Additions were 1 s old before the next fault came, so that copies that were not awaited were there all the same: with one copy required instead of three all tests still passed. The disks of the others are slow now where disks are lost.

--- a/src/test/java/myrtleladder/controlplane/model/TallyPartitionTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/TallyPartitionTest.java
@@ -35,7 +35,9 @@
     private int add(int number, String id, long amount) {
         int[] status = {NO_RESPONSE};
         client.add(node(number), TALLY, id, amount, code -> status[0] = code);
-        cluster.clock.run(1_000);
+        for (int i = 0; i < 1_000 && status[0] == NO_RESPONSE; i++) {
+            cluster.clock.run(1);
+        }
         return status[0];
     }
 
@@ -92,6 +94,8 @@
     @Test
     void additionOutlivesTwoDisksWhileAllOthersLosePower() {
         for (int second = 1; second < 8; second++) {
+            cluster.nodes().forEach(node -> node.disk().setMode(SimulatedDisk.Mode.SLOW));
+            node(0).disk().setMode(SimulatedDisk.Mode.SOUND);
             assertEquals(200, add(0, "a" + second, 1));
             cluster.nodes().forEach(SimulatedNode::powerOff);
             node(0).wipe();
