--- a/src/test/java/myrtleladder/controlplane/SoakRun.java
+++ b/src/test/java/myrtleladder/controlplane/SoakRun.java
@@ -86,6 +86,7 @@
         startAll();
         List<String> violations = new ArrayList<>();
         try (ControlTraffic traffic = new ControlTraffic(processes)) {
+            history.start();
             startApplications();
             playSteps();
             long recoveredMs = awaitSettled();
--- a/src/test/java/myrtleladder/controlplane/TallyHistory.java
+++ b/src/test/java/myrtleladder/controlplane/TallyHistory.java
@@ -29,6 +29,7 @@
     private final List<Interval> cuts = Collections.synchronizedList(new ArrayList<>());
     private final List<Wipe> wipes = Collections.synchronizedList(new ArrayList<>());
     private final List<String> violations = new ArrayList<>();
+    private long startNs;
 
     /** What an application knows of an addition that it sent. */
     enum Outcome {
@@ -92,6 +93,11 @@
         this.mergeNs = mergeMs * 1_000_000;
     }
 
+    /** Begins the time that violations tell. */
+    void start() {
+        startNs = System.nanoTime();
+    }
+
     void record(Addition addition) {
         additions.add(addition);
     }
@@ -167,7 +173,16 @@
 
     private void violated(String rule, Reading reading, String bound) {
         if (violations.size() < MAX_VIOLATIONS) {
-            violations.add(rule + ": " + reading + ", " + bound);
+            violations.add(
+                    "%s: %s of %s, life %d, is %d after %d ms, %s"
+                            .formatted(
+                                    rule,
+                                    reading.tally,
+                                    reading.node,
+                                    reading.life,
+                                    reading.total,
+                                    (reading.endedNs - startNs) / 1_000_000,
+                                    bound));
         }
     }
 
