Take upstreams of a zone that is taken back for possibly cold at balancers too

A balancer that learns from a new primary that a zone is in service again may not see the warm-up that the former primary assumed. UpstreamDirectory marks the zone's upstreams as unconfirmed when the zone leaves the list of drained ones. ColdUpstreamTest's zone taken back now goes this way in place of a call of its own; it fails without the call.

--- a/src/main/java/myrtleladder/dataplane/UpstreamDirectory.java
+++ b/src/main/java/myrtleladder/dataplane/UpstreamDirectory.java
@@ -67,7 +67,7 @@
     }
 
     /** Takes the upstreams of a zone that was evacuated for cold until the primary denies it. */
-    void zoneReturned(String zone) {
+    private void zoneReturned(String zone) {
         for (Upstream upstream : byId.values()) {
             if (upstream.record().zone.equals(zone)) {
                 upstream.warmup().markUnconfirmed(scheduler.now());
@@ -170,6 +170,7 @@
         if (zones.equals(drainedZones)) {
             return;
         }
+        drainedZones.stream().filter(zone -> !zones.contains(zone)).forEach(this::zoneReturned);
         drainedZones = List.copyOf(zones);
         updateAvailable();
         for (Upstream upstream : List.copyOf(byId.values())) {
--- a/src/test/java/myrtleladder/dataplane/ColdUpstreamTest.java
+++ b/src/test/java/myrtleladder/dataplane/ColdUpstreamTest.java
@@ -214,7 +214,8 @@
     void zoneThatIsTakenBackIsLimitedUntilItsUpstreamsReport() {
         startFleet(56);
         clock.run(1_000);
-        fleet.forEach(balancer -> balancer.dataPlane.directory().zoneReturned("z"));
+        fleet.forEach(balancer -> balancer.dataPlane.directory().applyDrainedZones(List.of("z")));
+        fleet.forEach(balancer -> balancer.dataPlane.directory().applyDrainedZones(List.of()));
         play(1_000);
         assertWithinAllowance();
         tellRecord(record(Stage.READY, 2, 0));
