--- a/src/test/java/myrtleladder/controlplane/TallySoakTest.java
+++ b/src/test/java/myrtleladder/controlplane/TallySoakTest.java
@@ -37,6 +37,7 @@
         Path disks = Files.createDirectory(folder.resolve("seed-" + seed));
         List<String> failures = new ArrayList<>();
         try (SoakRun run = new SoakRun(seed, topology(nodes), seconds * 1_000L, disks)) {
+            System.out.printf("seed %d, %d nodes:%n%s", seed, nodes, run.schedule());
             try {
                 run.play().forEach(violation -> failures.add("seed " + seed + ": " + violation));
             } catch (AssertionError e) {
@@ -45,8 +46,8 @@
             if (!failures.isEmpty()) {
                 System.out.printf(
                         "to play it again: mvn -B -Plong -Dtest=TallySoakTest -Dsoak.first=%d"
-                                + " -Dsoak.seeds=1 -Dsoak.nodes=%d -Dsoak.seconds=%d test%n%s%s%n",
-                        seed, nodes, seconds, run.schedule(), String.join("\n", failures));
+                                + " -Dsoak.seeds=1 -Dsoak.nodes=%d -Dsoak.seconds=%d test%n%s%n",
+                        seed, nodes, seconds, String.join("\n", failures));
             }
         }
         System.out.printf(
