Let a node that lost its disk serve tallies only with what others have kept

Two nodes that lose their disks together and are up before the others answered each other, both without additions; each then took the others for unreachable and read 0. Nobody saw it yet: it follows from CatchUp, which took any answer. Now a node without its disk needs a peer that has additions, or an answer of all. Whether the disk was lost is told by the stored identity in place of an empty log, so that a node that restarts before the first addition does not count as wiped.

--- a/src/main/java/myrtleladder/controlplane/ControlNode.java
+++ b/src/main/java/myrtleladder/controlplane/ControlNode.java
@@ -43,7 +43,7 @@
         PeerClient peers = new PeerClient(loop, settings.internal()::callAddress);
         ControlPlane plane = controlPlane(settings, loop, peers);
         plane.serveTallies(
-                new Tallies(tallyOptions(settings), loop, peers, tallyWriter, additions));
+                new Tallies(tallyOptions(settings, stored), loop, peers, tallyWriter, additions));
         Replica replica =
                 new Replica(
                         replicaOptions(settings),
@@ -70,14 +70,14 @@
                 settings.regionOfZone());
     }
 
-    private static TallyOptions tallyOptions(NodeSettings settings) {
+    private static TallyOptions tallyOptions(NodeSettings settings, StoredState stored) {
         return new TallyOptions(
                 internalAddress(settings, settings.ip()),
                 settings.zone(),
                 newProcessIdentity(),
                 settings.toleratedMachines(),
                 settings.toleratedZones(),
-                settings.bootstrap(),
+                settings.bootstrap() || stored != null,
                 settings.seeds().stream()
                         .map(seed -> internalAddress(settings, seed.host()))
                         .toList());
--- a/src/main/java/myrtleladder/tally/CatchUp.java
+++ b/src/main/java/myrtleladder/tally/CatchUp.java
@@ -19,7 +19,7 @@
     private final TallySet additions;
     private final TallyPeers peers;
 
-    /** Whether this node can't know what it lacks until somebody answers. */
+    /** Whether this node lost its disk or is new, and so lacks what others have. */
     private final boolean isAnswerNeeded;
 
     private final Map<String, Target> targetByAddress = new HashMap<>();
@@ -56,7 +56,7 @@
 
     /** Looks whether the process has caught up. */
     void check() {
-        if (isDone || !isStarted || (isAnswerNeeded && targetByAddress.isEmpty())) {
+        if (isDone || !isStarted || (isAnswerNeeded && !hasSufficientAnswers())) {
             return;
         }
         isDone = peers.at(initialAddresses).stream().allMatch(this::isCaughtUpWith);
@@ -66,6 +66,14 @@
         }
     }
 
+    /** Peers without additions may have lost their disks too, unless all answer. */
+    private boolean hasSufficientAnswers() {
+        boolean hasAdditions =
+                targetByAddress.values().stream()
+                        .anyMatch(target -> !target.known().replicas().isEmpty());
+        return hasAdditions || peers.at(initialAddresses).stream().allMatch(TallyPeer::isReachable);
+    }
+
     private boolean isCaughtUpWith(TallyPeer peer) {
         Target target = targetByAddress.get(peer.address());
         return switch (peer.reachability()) {
--- a/src/main/java/myrtleladder/tally/Tallies.java
+++ b/src/main/java/myrtleladder/tally/Tallies.java
@@ -69,7 +69,7 @@
         peers = new TallyPeers(options.address());
         durable = new DurableAdditions(scheduler, storage, this::checkProgress);
         durable.recover(additions.merge(onDisk));
-        catchUp = new CatchUp(additions, peers, onDisk.isEmpty() && !options.bootstrap());
+        catchUp = new CatchUp(additions, peers, !options.isDiskComplete());
         ExchangeListener listener = new ExchangeListener();
         AdditionPusher pusher =
                 new AdditionPusher(
--- a/src/main/java/myrtleladder/tally/TallyOptions.java
+++ b/src/main/java/myrtleladder/tally/TallyOptions.java
@@ -10,8 +10,8 @@
  * @param process identity of this process, drawn at its start; never used before
  * @param toleratedMachines the number of machines that may lose their disks at one time
  * @param toleratedZones the number of zones that may be lost at one time
- * @param bootstrap whether this is the first start of the system, so that an empty disk lacks
- *     nothing
+ * @param isDiskComplete whether the disk holds all that this node ever saved, even if that is
+ *     nothing: it was used before and not lost, or this is the first start of the system
  * @param seeds internal addresses of nodes to ask at first; this node's own is ignored
  */
 public record TallyOptions(
@@ -20,5 +20,5 @@
         String process,
         int toleratedMachines,
         int toleratedZones,
-        boolean bootstrap,
+        boolean isDiskComplete,
         List<String> seeds) {}
--- a/src/test/java/myrtleladder/controlplane/model/TallyPartitionTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/TallyPartitionTest.java
@@ -155,6 +155,19 @@
         expectAllRead(5);
     }
 
+    @Test
+    void wipedNodesThatReachOnlyEachOtherDoNotTakeThemselvesForComplete() {
+        assertEquals(200, add(0, "a", 4));
+        List.of(0, 1).forEach(number -> node(number).wipe());
+        cut(List.of(0, 1), List.of(2, 3, 4, 5, 6, 7));
+        List.of(0, 1).forEach(number -> node(number).start(false));
+        cluster.clock.run(10_000);
+        assertEquals(-1, read(0));
+        assertEquals(503, add(1, "never", 7));
+        cluster.heal();
+        expectAllRead(4);
+    }
+
     @Test
     void machineThatAcknowledgedAloneInACutAndLostItsDiskHoldsNobodyUp() {
         node(4).powerOff();
