Test that a node without its disk is not trusted with what it had before

With the reset of a peer's vectors taken out, all other tests still passed: in the model every node soon has everything, so that none relies on it.

--- /dev/null
+++ b/src/test/java/myrtleladder/tally/TallyPeerTest.java
@@ -0,0 +1,34 @@
+package myrtleladder.tally;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import myrtleladder.protocol.TallyPosition;
+import myrtleladder.protocol.TallyStateSummary;
+import org.junit.jupiter.api.Test;
+
+class TallyPeerTest {
+    private final TallyPeer peer = new TallyPeer("n1:1", 0);
+
+    private void learn(String process, long known, long durable) {
+        peer.learn(
+                TallyStateSummary.of(
+                        "n1:1",
+                        "z1",
+                        process,
+                        List.of(TallyPosition.of("r", known)),
+                        List.of(TallyPosition.of("r", durable))));
+    }
+
+    @Test
+    void processThatCameBackWithoutItsDiskIsNotTrustedWithWhatTheOneBeforeHad() {
+        learn("first", 5, 4);
+        assertTrue(peer.durable().includes("r", 4));
+        assertFalse(peer.durable().includes("r", 5));
+        learn("second", 1, 1);
+        assertFalse(peer.durable().includes("r", 2));
+        learn("first", 5, 5);
+        assertFalse(peer.known().includes("r", 2));
+    }
+}
