--- a/src/main/java/myrtleladder/controlplane/ControlPlane.java
+++ b/src/main/java/myrtleladder/controlplane/ControlPlane.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import myrtleladder.configuration.Configuration;
 import myrtleladder.http.ServerExchange;
 import myrtleladder.protocol.InstanceRecord;
@@ -11,16 +12,19 @@
 import myrtleladder.protocol.PollRequest;
 import myrtleladder.protocol.QuotaRequest;
 import myrtleladder.protocol.ShareInstancesRequest;
+import myrtleladder.protocol.TallySyncRequest;
+import myrtleladder.protocol.View;
 import myrtleladder.replication.Peers;
 import myrtleladder.replication.Replica;
 import myrtleladder.scheduler.Scheduler;
+import myrtleladder.tally.Tallies;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
  * The control plane on one node. It puts the parts together, gives each request to the handler of
  * its path or type, passes on changes of the role, and runs the periodic tasks. Only the primary
- * decides; other nodes name the primary.
+ * decides; other nodes name the primary. {@link Tallies} alone are served by every node.
  *
  * <p>The state is owned by {@link CommittedConfiguration}, {@link InstanceRegistry}, {@link
  * BalancerRegistry}, {@link FleetLoadExchange} and {@link QuotaAllocator}; the {@link Replica} owns
@@ -30,6 +34,7 @@
     private static final Logger LOG = LogManager.getLogger(ControlPlane.class);
     private static final String INSTANCES_PATH = "/instances/";
     private static final String DRAIN_PATH = "/drain/";
+    private static final String TALLIES_PATH = "/tallies/";
 
     /** The interval of the periodic tasks. Chosen. */
     private static final long TICK_INTERVAL_MS = 100;
@@ -40,6 +45,12 @@
     /** An instance that misses more heartbeats than this is lost. Chosen. */
     private static final int MAX_MISSED_HEARTBEATS = 3;
 
+    /** A silence of more intervals than this may mean that the instance comes back cold. */
+    private static final double MAX_SILENT_INTERVALS = 2.5;
+
+    /** Heartbeat intervals for which an instance is assumed to be cold unless it says otherwise. */
+    private static final int ASSUMED_WARMUP_INTERVALS = 2;
+
     private final Scheduler scheduler;
     private final long heartbeatIntervalMs;
     private final InstanceRegistry instances = new InstanceRegistry();
@@ -60,6 +71,11 @@
     private final QuotaRequestHandler quotaRequests;
     private final ShareInstancesRequestHandler shareInstancesRequests;
     private Replica replica;
+
+    /** Null if this node serves no tallies. */
+    private Tallies tallies;
+
+    private TallyRequestHandler tallyRequests;
     private boolean isPrimary;
     private long primarySinceMs;
     private long lastTickMs;
@@ -95,7 +111,7 @@
         polls = new PollRequestHandler(scheduler, balancers, fleetLoads, pollResponses);
         operatorRequests = new OperatorRequestQueue(scheduler);
         configurationRequests = new ConfigurationRequestHandler(operatorRequests, configuration);
-        drainRequests = new DrainRequestHandler(operatorRequests, configuration);
+        drainRequests = new DrainRequestHandler(operatorRequests, configuration, this::assumeCold);
         instanceRequests =
                 new InstanceRequestHandler(
                         scheduler, instances, replicator, saves, polls, this::isConfirmedPrimary);
@@ -108,6 +124,13 @@
         shareInstancesRequests = new ShareInstancesRequestHandler(scheduler, instances, saves);
     }
 
+    /** Sets the tallies that this node serves; has to precede {@link #attach}. */
+    public void serveTallies(Tallies served) {
+        tallies = served;
+        tallyRequests = new TallyRequestHandler(served);
+        statusRequests.serveTallies(served);
+    }
+
     /** Sets the replica that decides who is primary, and starts the periodic tasks. */
     public void attach(Replica attached) {
         replica = attached;
@@ -124,11 +147,25 @@
         shareInstancesRequests.attach(attached);
         instances.recover(attached.instancesAtStart(), scheduler.now());
         scheduler.schedule(TICK_INTERVAL_MS, this::tick);
+        if (tallies != null) {
+            tallies.start(this::memberAddresses);
+        }
+    }
+
+    private List<String> memberAddresses() {
+        View view = replica.view();
+        if (view == null) {
+            return List.of();
+        }
+        return Stream.concat(view.group.stream(), view.previousGroup.stream())
+                .map(member -> member.address)
+                .distinct()
+                .toList();
     }
 
     /** The upstream instances that are known here. */
     public List<InstanceRecord> instances() {
-        return instances.all();
+        return instances.all(scheduler.now());
     }
 
     /** Handles an HTTP request at the control address. */
@@ -140,6 +177,8 @@
             instanceRequests.handle(exchange, path.substring(INSTANCES_PATH.length()));
         } else if (path.startsWith(DRAIN_PATH)) {
             drainRequests.handle(exchange, path.substring(DRAIN_PATH.length()));
+        } else if (path.startsWith(TALLIES_PATH) && tallies != null) {
+            tallyRequests.handle(exchange, path.substring(TALLIES_PATH.length()));
         } else if (path.equals("/upgrade")) {
             upgradeRequests.handle(exchange);
         } else if (path.equals("/status")) {
@@ -160,6 +199,8 @@
             responder.accept(quotaRequests.handle(request));
         } else if (message instanceof ShareInstancesRequest request) {
             shareInstancesRequests.handle(request, responder);
+        } else if (message instanceof TallySyncRequest request && tallies != null) {
+            tallies.receive(request, responder);
         } else if (!replica.receive(message, responder)) {
             responder.accept(null);
         }
@@ -242,11 +283,37 @@
 
     private void expireInstances(long nowMs) {
         long timeoutMs = MAX_MISSED_HEARTBEATS * heartbeatIntervalMs + heartbeatIntervalMs / 2;
-        if (hasHeardAllInstances(nowMs) && instances.expire(nowMs, timeoutMs)) {
+        if (!hasHeardAllInstances(nowMs)) {
+            return;
+        }
+        boolean hasLost = instances.expire(nowMs, timeoutMs);
+        long silenceMs = (long) (MAX_SILENT_INTERVALS * heartbeatIntervalMs);
+        boolean hasSilent = instances.assumeSilentAreCold(silenceMs, assumedWarmupMs(), nowMs);
+        if (hasLost || hasSilent) {
             polls.sendUpdates();
         }
     }
 
+    private long assumedWarmupMs() {
+        return ASSUMED_WARMUP_INTERVALS * heartbeatIntervalMs;
+    }
+
+    /**
+     * Takes the ready upstreams of a zone for cold until their next heartbeat: its evacuation was
+     * withdrawn, and they may have become cold unnoticed.
+     */
+    private void assumeCold(String zone) {
+        List<InstanceRecord> assumed =
+                instances.assumeCold(zone, assumedWarmupMs(), scheduler.now());
+        if (assumed.isEmpty()) {
+            return;
+        }
+        LOG.info("{} upstreams of {} are taken for cold", assumed.size(), zone);
+        assumed.forEach(replicator::replicate);
+        polls.sendUpdates();
+        saves.schedule();
+    }
+
     private void assignOrdinals(long nowMs) {
         List<InstanceRecord> assigned = instances.assignOrdinals(nowMs);
         if (assigned.isEmpty()) {
--- a/src/test/java/myrtleladder/protocol/SampleMessages.java
+++ b/src/test/java/myrtleladder/protocol/SampleMessages.java
@@ -31,6 +31,9 @@
         all.put("alive", BalancerHeartbeat.of("edge-16"));
         all.put("leave", LeaveRequest.of(member("leaver")));
         all.put("leave-reply", LeaveResponse.of(true, view(118)));
+        all.put("tally-batch", tallyBatch());
+        all.put("tally-sync", tallySync());
+        all.put("tally-sync-reply", TallySyncResponse.of(summary(126), tallyBatch().additions));
         return all;
     }
 
@@ -56,9 +59,36 @@
         all.put("alive", new BalancerHeartbeat());
         all.put("leave", new LeaveRequest());
         all.put("leave-reply", new LeaveResponse());
+        all.put("tally-batch", new TallyBatch());
+        all.put("tally-sync", new TallySyncRequest());
+        all.put("tally-sync-reply", new TallySyncResponse());
         return all;
     }
 
+    private static TallyBatch tallyBatch() {
+        return TallyBatch.of(
+                List.of(
+                        TallyAddition.of("replica-1", 119, "tally-1", "id-1", 1_019),
+                        TallyAddition.of("replica-2", 120, "tally-2", "id-2", 1_020)));
+    }
+
+    private static TallySyncRequest tallySync() {
+        List<TallyPosition> awaited = List.of(TallyPosition.of("replica-4", 123));
+        TallySyncRequest sync =
+                TallySyncRequest.push(summary(121), tallyBatch().additions, awaited);
+        sync.maxAdditions = 124;
+        return sync;
+    }
+
+    private static TallyStateSummary summary(long sequence) {
+        return TallyStateSummary.of(
+                "node:1",
+                "zone-1",
+                "process-1",
+                List.of(TallyPosition.of("replica-3", sequence)),
+                List.of(TallyPosition.of("replica-3", sequence - 1)));
+    }
+
     static Member member(String name) {
         return Member.of(name + ":1", name + ":2", "store-" + name);
     }
