Pass polls and requests for quota on where a balancer doesn't reach the primary

While the link between two zones was broken, balancers on the far side of the primary's zone heard nothing of it, though control nodes in a third zone heard both: they fell back to their parts of the quotas and answered 429.

A balancer whose primary timed out and that is named the same primary by another node asks that node to pass its requests on (relayWanted, new last fields, absent otherwise); after 5 s it polls the primary directly again. A node that does not know the field redirects as before and is asked once.

The scenario avoidedPrimaryIsNotPolledWhen... of ControlPollerTest now expects the relayed poll between the two nodes: the avoided primary is polled no more than before.

--- a/src/main/java/myrtleladder/controlplane/ControlPlane.java
+++ b/src/main/java/myrtleladder/controlplane/ControlPlane.java
@@ -34,6 +34,13 @@
     private static final Logger LOG = LogManager.getLogger(ControlPlane.class);
     private static final String INSTANCES_PATH = "/instances/";
     private static final String DRAIN_PATH = "/drain/";
+
+    /** Timeout of a poll that is passed on: a little less than the balancer's own. */
+    private static final long POLL_RELAY_TIMEOUT_MS = 700;
+
+    /** Timeout of a request for quota that is passed on: a little less than the balancer's own. */
+    private static final long QUOTA_RELAY_TIMEOUT_MS = 200;
+
     private static final String TALLIES_PATH = "/tallies/";
 
     /** The interval of the periodic tasks. Chosen. */
@@ -68,6 +75,7 @@
     private final UpgradeRequestHandler upgradeRequests;
     private final StatusRequestHandler statusRequests;
     private final PollRequestHandler polls;
+    private final PrimaryRelay relay;
     private final QuotaRequestHandler quotaRequests;
     private final ShareInstancesRequestHandler shareInstancesRequests;
     private Replica replica;
@@ -99,6 +107,7 @@
         this.heartbeatIntervalMs = heartbeatIntervalMs;
         quotas = new QuotaAllocator(quotaOverageShare, quotaSlackUnits);
         replicator = new InstanceReplicator(scheduler, peers);
+        relay = new PrimaryRelay(peers);
         saves = new InstanceSaveScheduler(scheduler);
         PollResponseBuilder pollResponses =
                 new PollResponseBuilder(
@@ -135,6 +144,7 @@
     public void attach(Replica attached) {
         replica = attached;
         replicator.attach(attached);
+        relay.attach(attached);
         saves.attach(attached);
         operatorRequests.attach(attached);
         configurationRequests.attach(attached);
@@ -194,9 +204,9 @@
      */
     public void receive(Message message, Consumer<Message> responder) {
         if (message instanceof PollRequest request) {
-            polls.handle(request, responder);
+            receivePoll(request, responder);
         } else if (message instanceof QuotaRequest request) {
-            responder.accept(quotaRequests.handle(request));
+            receiveQuotaRequest(request, responder);
         } else if (message instanceof ShareInstancesRequest request) {
             shareInstancesRequests.handle(request, responder);
         } else if (message instanceof TallySyncRequest request && tallies != null) {
@@ -206,6 +216,28 @@
         }
     }
 
+    private void receivePoll(PollRequest request, Consumer<Message> responder) {
+        boolean isRelayWanted = request.relayWanted != null && request.relayWanted;
+        request.relayWanted = null;
+        if (isRelayWanted && relay.isAvailable()) {
+            Runnable onFailure = () -> polls.handle(request, responder);
+            relay.relay(request, POLL_RELAY_TIMEOUT_MS, responder, onFailure);
+        } else {
+            polls.handle(request, responder);
+        }
+    }
+
+    private void receiveQuotaRequest(QuotaRequest request, Consumer<Message> responder) {
+        boolean isRelayWanted = request.relayWanted != null && request.relayWanted;
+        request.relayWanted = null;
+        if (isRelayWanted && relay.isAvailable()) {
+            Runnable onFailure = () -> responder.accept(quotaRequests.handle(request));
+            relay.relay(request, QUOTA_RELAY_TIMEOUT_MS, responder, onFailure);
+        } else {
+            responder.accept(quotaRequests.handle(request));
+        }
+    }
+
     @Override
     public void onPrimacyGained(Collection<InstanceRecord> inherited) {
         if (!isPrimary) {
--- a/src/main/java/myrtleladder/dataplane/ControlPoller.java
+++ b/src/main/java/myrtleladder/dataplane/ControlPoller.java
@@ -47,6 +47,9 @@
     /** A failure after a longer time is a timeout, one before it a refusal to connect; chosen. */
     private static final long UNRESPONSIVE_AFTER_MS = 400;
 
+    /** Time after which a primary is polled directly again that was out of reach; chosen. */
+    private static final long RELAY_MS = 5_000;
+
     /** Failures after which the seeds are read again; chosen. */
     private static final int FAILURES_BEFORE_SEED_RELOAD = 6;
 
@@ -64,6 +67,10 @@
     /** Address that is polled, empty until the next one is chosen. */
     private String target = "";
 
+    /** Whether the target passes requests on, since the primary is out of reach. */
+    private boolean isRelayed;
+
+    private long relayedSinceMs;
     private int nextTargetIndex;
     private int consecutiveFailures;
     private long polledAtMs;
@@ -137,6 +144,7 @@
             return;
         }
         request.loadReport = dataPlane.fleetLoads().createReport();
+        request.relayWanted = isRelayed ? true : null;
         peers.call(
                 target,
                 request,
@@ -183,6 +191,7 @@
         request.liveBalancers = heartbeatAgent.liveMembers();
         request.balancerListRevision = memberRevision;
         request.loadReport = dataPlane.fleetLoads().createReport();
+        request.relayWanted = isRelayed ? true : null;
         request.drainedZones = DrainedZones.of(dataPlane.directory().drainedZones());
         request.inFlightAtDraining.addAll(dataPlane.directory().inFlightAtLeavingUpstreams());
         return request;
@@ -223,6 +232,10 @@
             return;
         }
         consecutiveFailures = 0;
+        if (isRelayed && scheduler.now() - relayedSinceMs >= RELAY_MS) {
+            isRelayed = false;
+            target = response.primaryAddress;
+        }
         applyResponse(response);
         dataPlane.fleetLoads().applyResponse(report, response.fleetLoads, scheduler.now());
         poll();
@@ -239,14 +252,29 @@
             reloadSeeds();
         }
         target = "";
+        isRelayed = false;
         scheduler.schedule(RETRY_BACKOFF_MS, this::poll);
     }
 
-    /** Polls the primary that a node named next, unless that node itself or an avoided one. */
+    /**
+     * Polls the primary that a node named next. A node that hears a primary which is out of reach
+     * from here is asked once to pass the poll on.
+     */
     private void redirectTo(String primary, long namedEpoch) {
         endAvoidanceOfLaterPrimary(primary, namedEpoch);
-        boolean isUseless = primary.equals(target) || isAvoided(primary);
-        target = isUseless ? "" : primary;
+        if (primary.equals(target)) {
+            target = "";
+            isRelayed = false;
+        } else if (!isAvoided(primary)) {
+            target = primary;
+            isRelayed = false;
+        } else if (!isRelayed) {
+            isRelayed = true;
+            relayedSinceMs = scheduler.now();
+        } else {
+            target = "";
+            isRelayed = false;
+        }
         scheduler.schedule(RETRY_BACKOFF_MS, this::poll);
     }
 
--- a/src/main/java/myrtleladder/protocol/PollRequest.java
+++ b/src/main/java/myrtleladder/protocol/PollRequest.java
@@ -52,4 +52,7 @@
 
     /** The drained zones that the balancer has, null if it does not heed them. */
     public DrainedZones drainedZones;
+
+    /** True if a node that is not primary is to pass the poll on; null otherwise. */
+    public Boolean relayWanted;
 }
--- a/src/main/java/myrtleladder/protocol/QuotaRequest.java
+++ b/src/main/java/myrtleladder/protocol/QuotaRequest.java
@@ -14,6 +14,9 @@
     /** Load of the balancer, null if it does not report it. */
     public LoadReport loadReport;
 
+    /** True if a node that is not primary is to pass the request on; null otherwise. */
+    public Boolean relayWanted;
+
     /** Creates a message with these fields. */
     public static QuotaRequest of(String tenant, double units) {
         QuotaRequest message = new QuotaRequest();
--- a/src/test/java/myrtleladder/dataplane/ControlPollerTest.java
+++ b/src/test/java/myrtleladder/dataplane/ControlPollerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
@@ -139,9 +140,31 @@
         pendingCallback.accept(response(3, 7));
         assertEquals("a:1", lastPolledNode());
         timeOut();
+        assertEquals("b:1", lastPolledNode());
+        pendingCallback.accept(redirection("a:1", 3));
+        clock.run(60);
+        assertEquals("b:1", lastPolledNode());
+        assertEquals(true, polls.get(polls.size() - 1).relayWanted);
         pendingCallback.accept(redirection("a:1", 3));
         clock.run(60);
         assertEquals("c:1", lastPolledNode());
+        assertNull(polls.get(polls.size() - 1).relayWanted);
+    }
+
+    @Test
+    void primaryOutOfReachIsPolledThroughAnotherNodeAndLaterDirectlyAgain() {
+        pendingCallback.accept(response(3, 7));
+        timeOut();
+        pendingCallback.accept(redirection("a:1", 3));
+        clock.run(60);
+        pendingCallback.accept(response(3, 8));
+        assertEquals(8, dataPlane.configuration().generation());
+        assertEquals("b:1", lastPolledNode());
+        assertEquals(true, polls.get(polls.size() - 1).relayWanted);
+        clock.run(5_000);
+        pendingCallback.accept(response(3, 8));
+        assertEquals("a:1", lastPolledNode());
+        assertNull(polls.get(polls.size() - 1).relayWanted);
     }
 
     @Test
