Count a withdrawn attempt neither as sent nor as one sent less

Cause: an attempt that was withdrawn before it was sent left the list of tried upstreams and was also subtracted from it, so that one upstream more than the route's retries could run the request. Found by reading; nobody saw it. The upstream now stays in the list, as with other attempts that are not sent. ProxiedRequest*, DrainedZone- and ColdUpstreamTest pass; no test brings the count about.

--- a/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
+++ b/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
@@ -24,10 +24,10 @@
  * timeouts, its attempts and the client's connection call back.
  */
 final class ProxiedRequest implements Attempt.Listener {
-    /** How long before the deadline a request ends, so that its answer arrives in time; chosen. */
+    /** How long before the deadline a request ends, so that its answer arrives in time. */
     private static final long DEADLINE_MARGIN_MS = 40;
 
-    /** Failures to connect after which a request is given up; chosen. */
+    /** Failures to connect after which a request is given up. */
     private static final int MAX_UNSENT_ATTEMPTS = 4;
 
     /** Misdirected Request: the upstream is not the expected incarnation (RFC 9110, 15.5.20). */
@@ -228,7 +228,6 @@
             return;
         }
         current = null;
-        triedUpstreams.remove(attempt.upstream());
         retryUnsent();
     }
 
