Pause before an addition is pushed again to a peer that refuses connections

Cause: a refused push was repeated at once, for as long as the addition waited and the peer did not count as unreachable: connections at the pace of round trips, on a part of a core. Found by reading. The tallies' tests pass.

--- a/src/main/java/myrtleladder/tally/AdditionPusher.java
+++ b/src/main/java/myrtleladder/tally/AdditionPusher.java
@@ -48,6 +48,7 @@
     private static final class Push {
         private final VersionVector wanted = new VersionVector();
         private boolean isInFlight;
+        private long notBeforeMs;
     }
 
     AdditionPusher(
@@ -75,7 +76,8 @@
 
     private void send(TallyPeer peer, Push push) {
         List<TallyPosition> awaited = awaited(peer, push);
-        if (push.isInFlight || awaited.isEmpty()) {
+        boolean isHeldBack = scheduler.now() < push.notBeforeMs;
+        if (push.isInFlight || isHeldBack || awaited.isEmpty()) {
             return;
         }
         push.isInFlight = true;
@@ -111,6 +113,8 @@
             long delayMs = hasProgressed ? 0 : RETRY_DELAY_MS;
             scheduler.schedule(delayMs, () -> sendIfReachable(peer, push));
         } else {
+            push.notBeforeMs = scheduler.now() + RETRY_DELAY_MS;
+            scheduler.schedule(RETRY_DELAY_MS, () -> sendIfReachable(peer, push));
             listener.onPushFailed(peer);
         }
     }
