Keep on the disk whether a node has caught up with the tallies since it lost its disk

Cause, found by reading: a node without its disk that was restarted before it had caught up found its new identity, or a part of the log, and took its disk for complete: cut off, it served totals without what it had acknowledged. And nodes that had not caught up themselves counted as an answer. Now the log has a mark once the node has caught up, the exchanges say whether a node has, and only such a node's answer counts, or those of all. A silence ends also when the peer is heard, so that a slow node takes fewer for lost.

--- a/src/main/java/myrtleladder/controlplane/AsyncTallyWriter.java
+++ b/src/main/java/myrtleladder/controlplane/AsyncTallyWriter.java
@@ -32,6 +32,7 @@
     private static final class Batch {
         private final List<TallyAddition> additions = new ArrayList<>();
         private final List<Consumer<Boolean>> callbacks = new ArrayList<>();
+        private boolean isComplete;
     }
 
     /**
@@ -60,11 +61,20 @@
         }
     }
 
+    @Override
+    public void markComplete() {
+        synchronized (lock) {
+            pending.isComplete = true;
+            pending.callbacks.add(isDurable -> {});
+            lock.notifyAll();
+        }
+    }
+
     private void run() {
         try {
             while (true) {
                 Batch batch = awaitBatch();
-                boolean isDurable = write(batch.additions);
+                boolean isDurable = write(batch);
                 loop.execute(() -> batch.callbacks.forEach(done -> done.accept(isDurable)));
             }
         } catch (InterruptedException e) {
@@ -84,13 +94,16 @@
         }
     }
 
-    private boolean write(List<TallyAddition> additions) {
+    private boolean write(Batch batch) {
         try {
-            log.append(additions);
+            log.append(batch.additions);
+            if (batch.isComplete) {
+                log.markComplete();
+            }
             return true;
         } catch (RuntimeException e) {
             // whatever fails, the additions are not on the disk, and the thread has to go on
-            LOG.error("{} additions are not saved: {}", additions.size(), e.toString());
+            LOG.error("{} additions are not saved: {}", batch.additions.size(), e.toString());
             return false;
         }
     }
--- a/src/main/java/myrtleladder/controlplane/ControlNode.java
+++ b/src/main/java/myrtleladder/controlplane/ControlNode.java
@@ -16,9 +16,13 @@
 import myrtleladder.rpc.PeerClient;
 import myrtleladder.tally.Tallies;
 import myrtleladder.tally.TallyOptions;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /** Puts the parts of a control node together and starts them. */
 final class ControlNode {
+    private static final Logger LOG = LogManager.getLogger(ControlNode.class);
+
     /** The store of a member is unknown until it answers. */
     private static final String UNKNOWN_STORE = "";
 
@@ -35,6 +39,8 @@
             NodeSettings settings, EventLoop loop, StateStore store, TallyLog tallyLog) {
         StoredState stored = store.load();
         List<TallyAddition> additions = tallyLog.load();
+        boolean isDiskComplete = isDiskComplete(settings, stored, tallyLog);
+        prepare(tallyLog, isDiskComplete);
         AsyncStateWriter writer = new AsyncStateWriter(loop, store);
         writer.start();
         AsyncTallyWriter tallyWriter = new AsyncTallyWriter(loop::execute, tallyLog);
@@ -43,7 +49,12 @@
         PeerClient peers = new PeerClient(loop, settings.internal()::callAddress);
         ControlPlane plane = controlPlane(settings, loop, peers);
         plane.serveTallies(
-                new Tallies(tallyOptions(settings, stored), loop, peers, tallyWriter, additions));
+                new Tallies(
+                        tallyOptions(settings, isDiskComplete),
+                        loop,
+                        peers,
+                        tallyWriter,
+                        additions));
         Replica replica =
                 new Replica(
                         replicaOptions(settings),
@@ -58,6 +69,27 @@
         return replica;
     }
 
+    /** A disk that an earlier program used has no log of tallies, one that was lost has nothing. */
+    private static boolean isDiskComplete(
+            NodeSettings settings, StoredState stored, TallyLog tallyLog) {
+        return tallyLog.isComplete()
+                || settings.bootstrap()
+                || (stored != null && !tallyLog.exists());
+    }
+
+    /** Lets the next start know whether the disk was lost; before anything else is saved. */
+    private static void prepare(TallyLog tallyLog, boolean isDiskComplete) {
+        try {
+            if (isDiskComplete) {
+                tallyLog.markComplete();
+            } else {
+                tallyLog.create();
+            }
+        } catch (StorageException e) {
+            LOG.warn("the log of tallies can't be prepared: {}", e.getMessage());
+        }
+    }
+
     private static ControlPlane controlPlane(
             NodeSettings settings, EventLoop loop, PeerClient peers) {
         NodeSettings.Bounds bounds = settings.bounds();
@@ -70,14 +102,14 @@
                 settings.regionOfZone());
     }
 
-    private static TallyOptions tallyOptions(NodeSettings settings, StoredState stored) {
+    private static TallyOptions tallyOptions(NodeSettings settings, boolean isDiskComplete) {
         return new TallyOptions(
                 internalAddress(settings, settings.ip()),
                 settings.zone(),
                 newProcessIdentity(),
                 settings.toleratedMachines(),
                 settings.toleratedZones(),
-                settings.bootstrap() || stored != null,
+                isDiskComplete,
                 settings.seeds().stream()
                         .map(seed -> internalAddress(settings, seed.host()))
                         .toList());
--- a/src/main/java/myrtleladder/controlplane/TallyLog.java
+++ b/src/main/java/myrtleladder/controlplane/TallyLog.java
@@ -38,6 +38,9 @@
     /** In bytes from the start of the file. */
     private long durableLength;
 
+    /** Whether the file has a frame without additions, which is the mark. */
+    private boolean isComplete;
+
     /**
      * Creates a log in a folder, which is made if it is missing.
      *
@@ -83,12 +86,12 @@
     }
 
     /** Adds the additions of all readable frames; returns the length of these frames in bytes. */
-    private static long readFrames(DataInputStream in, List<TallyAddition> additions)
-            throws IOException {
+    private long readFrames(DataInputStream in, List<TallyAddition> additions) throws IOException {
         long length = 0;
         TallyLogFormat.Frame frame = TallyLogFormat.read(in);
         while (frame != null) {
             additions.addAll(frame.additions());
+            isComplete |= frame.additions().isEmpty();
             length += frame.lengthBytes();
             frame = TallyLogFormat.read(in);
         }
@@ -113,10 +116,43 @@
      * @throws StorageException with {@link ResultCode#DISK_WRITE} if they are not on the disk
      */
     public void append(List<TallyAddition> additions) {
-        if (additions.isEmpty()) {
-            return;
+        if (!additions.isEmpty()) {
+            write(TallyLogFormat.encode(additions));
         }
-        ByteBuffer frames = TallyLogFormat.encode(additions);
+    }
+
+    /** Returns whether the disk has this log; a disk that was lost has not. */
+    public boolean exists() {
+        return Files.exists(path);
+    }
+
+    /** Returns whether the log was marked as complete. */
+    public boolean isComplete() {
+        return isComplete;
+    }
+
+    /**
+     * Marks, once, that the log holds what the node needs to serve after a restart.
+     *
+     * @throws StorageException with {@link ResultCode#DISK_WRITE} if the mark is not on the disk
+     */
+    public void markComplete() {
+        if (!isComplete) {
+            write(TallyLogFormat.encode(List.of()));
+            isComplete = true;
+        }
+    }
+
+    /**
+     * Makes the file without a mark, so that the next start knows that the disk was lost.
+     *
+     * @throws StorageException with {@link ResultCode#DISK_WRITE} if it is not on the disk
+     */
+    public void create() {
+        write(ByteBuffer.allocate(0));
+    }
+
+    private void write(ByteBuffer frames) {
         int length = frames.remaining();
         try {
             open();
--- a/src/main/java/myrtleladder/controlplane/Warmup.java
+++ b/src/main/java/myrtleladder/controlplane/Warmup.java
@@ -38,10 +38,10 @@
  * <p>The verb of the command line is {@code rehearse}.
  */
 final class Warmup {
-    /** After this time the run has failed. Chosen. */
+    /** After this time the run has failed. */
     private static final long TIMEOUT_MS = 10_000;
 
-    /** The time from one step to the next, and of a call. Chosen. */
+    /** The time from one step to the next, and of a call. */
     private static final long STEP_MS = 700;
 
     private static final String HOST = "127.0.0.1";
@@ -171,7 +171,8 @@
     private static TallySyncRequest additionOfAnotherNode() {
         TallyPosition position = TallyPosition.of("p", 1);
         TallyStateSummary sender =
-                TallyStateSummary.of(HOST + ":9", "z", "p", List.of(position), List.of(position));
+                TallyStateSummary.of(
+                        HOST + ":9", "z", "p", List.of(position), List.of(position), true);
         TallyAddition addition = TallyAddition.of("p", 1, "t", "b", 1);
         return TallySyncRequest.push(sender, List.of(addition), List.of(position));
     }
--- a/src/main/java/myrtleladder/protocol/TallyStateSummary.java
+++ b/src/main/java/myrtleladder/protocol/TallyStateSummary.java
@@ -20,19 +20,24 @@
     /** The positions up to which additions are on the disk, where that is behind {@link #known}. */
     public List<TallyPosition> durable = new ArrayList<>();
 
+    /** Whether the process serves: it has all that it could learn of after its start. */
+    public boolean caughtUp;
+
     /** Creates a summary from its parts. */
     public static TallyStateSummary of(
             String address,
             String zone,
             String process,
             List<TallyPosition> known,
-            List<TallyPosition> durable) {
+            List<TallyPosition> durable,
+            boolean caughtUp) {
         TallyStateSummary summary = new TallyStateSummary();
         summary.address = address;
         summary.zone = zone;
         summary.process = process;
         summary.known = known;
         summary.durable = durable;
+        summary.caughtUp = caughtUp;
         return summary;
     }
 }
--- a/src/main/java/myrtleladder/tally/CatchUp.java
+++ b/src/main/java/myrtleladder/tally/CatchUp.java
@@ -1,17 +1,15 @@
 package myrtleladder.tally;
 
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
- * Decides when a process that has started may serve: once each peer that it knew at the start has
- * answered or is unreachable, and all that those which answered had is here. Once it may, it may
- * until its end. Confined to the event loop.
+ * Decides when a process that has started may serve: once each peer that it knows has answered or
+ * is unreachable, and all that those which answered had is here. Once it may, it may until its end.
+ * Confined to the event loop.
  */
 final class CatchUp {
     private static final Logger LOG = LogManager.getLogger(CatchUp.class);
@@ -23,7 +21,6 @@
     private final boolean isAnswerNeeded;
 
     private final Map<String, Target> targetByAddress = new HashMap<>();
-    private final Set<String> initialAddresses = new HashSet<>();
     private boolean isStarted;
     private boolean isDone;
 
@@ -36,9 +33,8 @@
         this.isAnswerNeeded = isAnswerNeeded;
     }
 
-    /** Starts with the peers that are known now. */
-    void start(List<TallyPeer> initialPeers) {
-        initialPeers.forEach(peer -> initialAddresses.add(peer.address()));
+    /** Starts once the first peers are known. */
+    void start() {
         isStarted = true;
         check();
     }
@@ -59,19 +55,18 @@
         if (isDone || !isStarted || (isAnswerNeeded && !hasSufficientAnswers())) {
             return;
         }
-        isDone = peers.at(initialAddresses).stream().allMatch(this::isCaughtUpWith);
+        isDone = peers.all().stream().allMatch(this::isCaughtUpWith);
         if (isDone) {
             targetByAddress.clear();
             LOG.info("tallies: caught up with {} additions", additions.size());
         }
     }
 
-    /** Peers without additions may have lost their disks too, unless all answer. */
+    /** Peers that have not caught up may have lost their disks too, unless all answer. */
     private boolean hasSufficientAnswers() {
-        boolean hasAdditions =
-                targetByAddress.values().stream()
-                        .anyMatch(target -> !target.known().replicas().isEmpty());
-        return hasAdditions || peers.at(initialAddresses).stream().allMatch(TallyPeer::isReachable);
+        Collection<TallyPeer> all = peers.all();
+        return all.stream().anyMatch(peer -> peer.isReachable() && peer.hasCaughtUp())
+                || (!all.isEmpty() && all.stream().allMatch(TallyPeer::isReachable));
     }
 
     private boolean isCaughtUpWith(TallyPeer peer) {
--- a/src/main/java/myrtleladder/tally/Tallies.java
+++ b/src/main/java/myrtleladder/tally/Tallies.java
@@ -46,6 +46,11 @@
     private final PendingAdditions pending;
     private final AntiEntropy antiEntropy;
     private Supplier<? extends Collection<String>> memberAddresses = List::of;
+    private final TallyStorage storage;
+
+    /** Whether the disk is known to hold what a restart of this node needs. */
+    private boolean isDiskComplete;
+
     private boolean isStarted;
     private long lastLookMs;
     private long acknowledgedCount;
@@ -66,6 +71,8 @@
             List<TallyAddition> onDisk) {
         this.options = options;
         this.scheduler = scheduler;
+        this.storage = storage;
+        this.isDiskComplete = options.isDiskComplete();
         peers = new TallyPeers(options.address());
         durable = new DurableAdditions(scheduler, storage, this::checkProgress);
         durable.recover(additions.merge(onDisk));
@@ -95,7 +102,7 @@
         lastLookMs = scheduler.now();
         updatePeers();
         antiEntropy.start();
-        catchUp.start(List.copyOf(peers.all()));
+        catchUp.start();
         scheduler.schedule(AntiEntropy.INTERVAL_MS, this::lookAtPeers);
     }
 
@@ -191,7 +198,9 @@
         if (peers.isNew(sender.address)) {
             antiEntropy.pull(peers.add(sender.address, scheduler.now()));
         }
-        peers.get(sender.address).learn(sender);
+        TallyPeer peer = peers.get(sender.address);
+        peer.learn(sender);
+        peer.forgiveSilence();
     }
 
     private void answerOnceDurable(VersionVector awaited, Consumer<Message> answer) {
@@ -216,12 +225,17 @@
                 options.zone(),
                 options.process(),
                 known.toPositions(),
-                durable.vector().positionsBehind(known));
+                durable.vector().positionsBehind(known),
+                catchUp.isDone());
     }
 
     private void checkProgress() {
         pending.check();
         catchUp.check();
+        if (!isDiskComplete && catchUp.isDone() && durable.unsyncedCount() == 0) {
+            isDiskComplete = true;
+            storage.markComplete();
+        }
     }
 
     /** Returns figures for operators. */
--- a/src/main/java/myrtleladder/tally/TallyPeer.java
+++ b/src/main/java/myrtleladder/tally/TallyPeer.java
@@ -41,6 +41,7 @@
     private final Set<String> formerProcesses = new HashSet<>();
     private String zone = "";
     private String process = "";
+    private boolean hasCaughtUp;
     private VersionVector known = new VersionVector();
     private VersionVector durable = new VersionVector();
     private Reachability reachability = Reachability.UNKNOWN;
@@ -67,6 +68,7 @@
             durable = new VersionVector();
         }
         zone = summary.zone;
+        hasCaughtUp = summary.caughtUp;
         known.raise(VersionVector.of(summary.known));
         durable.raise(durablePart(summary));
     }
@@ -101,7 +103,7 @@
         return nowMs - silentSinceMs >= allowedMs && transitionTo(Reachability.UNREACHABLE);
     }
 
-    /** Forgets a silence that this process may have caused itself. */
+    /** Forgets a silence: this process may have caused it itself, or the peer was heard since. */
     void forgiveSilence() {
         silentSinceMs = NONE;
     }
@@ -128,6 +130,11 @@
         return process;
     }
 
+    /** Whether its process serves, as far as it told. */
+    boolean hasCaughtUp() {
+        return hasCaughtUp;
+    }
+
     Reachability reachability() {
         return reachability;
     }
--- a/src/main/java/myrtleladder/tally/TallyPeers.java
+++ b/src/main/java/myrtleladder/tally/TallyPeers.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The other nodes that this one exchanges additions with, by address: a node that comes back with
@@ -75,9 +74,4 @@
     List<TallyPeer> reachable() {
         return peerByAddress.values().stream().filter(TallyPeer::isReachable).toList();
     }
-
-    /** Returns the peers at some addresses, those without a peer left out. */
-    List<TallyPeer> at(Set<String> addresses) {
-        return all().stream().filter(peer -> addresses.contains(peer.address())).toList();
-    }
 }
--- a/src/test/java/myrtleladder/cluster/FaultPointInjector.java
+++ b/src/test/java/myrtleladder/cluster/FaultPointInjector.java
@@ -22,13 +22,13 @@
 public final class FaultPointInjector<P extends Enum<P>> {
     private static final long SECOND_US = 1_000_000;
 
-    /** Chosen: longer than any timer of the protocols. */
+    /** Longer than any timer of the protocols. */
     private static final long STALL_US = 12 * SECOND_US;
 
-    /** Chosen: how late a delayed message is. */
+    /** How late a delayed message is. */
     private static final long MESSAGE_DELAY_US = 5 * SECOND_US;
 
-    /** Chosen: a process that is restarted comes back after this time. */
+    /** A process that is restarted comes back after this time. */
     private static final long RESTART_DELAY_US = SECOND_US;
 
     /** How often each point was passed since the last fault. */
--- a/src/test/java/myrtleladder/controlplane/ControlPlaneFixture.java
+++ b/src/test/java/myrtleladder/controlplane/ControlPlaneFixture.java
@@ -141,7 +141,7 @@
         }
         if (message instanceof TallySyncRequest exchange) {
             TallyStateSummary summary =
-                    TallyStateSummary.of(to, "z", to, exchange.awaited, List.of());
+                    TallyStateSummary.of(to, "z", to, exchange.awaited, List.of(), true);
             return TallySyncResponse.of(summary, List.of());
         }
         boolean isAcknowledged =
--- a/src/test/java/myrtleladder/controlplane/TallyLogTest.java
+++ b/src/test/java/myrtleladder/controlplane/TallyLogTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -88,6 +89,24 @@
         assertAdditions(additions(1, 6), new TallyLog(folder.resolve("new")).load(), "again");
     }
 
+    @Test
+    void logThatWasMadeOnALostDiskIsCompleteOnlyOnceItIsMarked() {
+        TallyLog made = new TallyLog(folder);
+        assertFalse(made.exists());
+        made.create();
+        made.append(additions(1, 2));
+        TallyLog unmarked = new TallyLog(folder);
+        assertTrue(unmarked.exists());
+        assertAdditions(additions(1, 2), unmarked.load(), "unmarked");
+        assertFalse(unmarked.isComplete());
+        unmarked.markComplete();
+        unmarked.markComplete();
+        unmarked.append(additions(3, 3));
+        TallyLog marked = new TallyLog(folder);
+        assertAdditions(additions(1, 3), marked.load(), "marked");
+        assertTrue(marked.isComplete());
+    }
+
     @Test
     void emptyFileOfACrashBeforeTheFirstSyncIsALogWithoutAdditions() throws Exception {
         Files.createFile(file);
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedDisk.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedDisk.java
@@ -40,6 +40,7 @@
     private final ArrayDeque<Save> saves = new ArrayDeque<>();
     private Mode mode = Mode.SOUND;
     private byte[] synced;
+    private boolean isTallyLogComplete;
     private final List<TallyAddition> syncedAdditions = new ArrayList<>();
     private boolean isWriting;
     private int interruptions;
@@ -69,6 +70,17 @@
         writeNext();
     }
 
+    /** What a start does before anything else: whether the log of tallies is complete. */
+    boolean prepareTallyLog(boolean isBootstrap) {
+        isTallyLogComplete |= isBootstrap;
+        return isTallyLogComplete;
+    }
+
+    void markTallyLogComplete(BooleanSupplier isProcessAlive) {
+        saves.add(new Save(() -> isTallyLogComplete = true, isProcessAlive, isSaved -> {}));
+        writeNext();
+    }
+
     void setMode(Mode next) {
         mode = next;
         writeNext();
@@ -137,5 +149,6 @@
         interrupt();
         synced = null;
         syncedAdditions.clear();
+        isTallyLogComplete = false;
     }
 }
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedProcess.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedProcess.java
@@ -83,7 +83,7 @@
                         process,
                         cluster.tolerated,
                         SimulatedCluster.TOLERATED_ZONES,
-                        isBootstrap || node.disk().load() != null,
+                        node.disk().prepareTallyLog(isBootstrap),
                         cluster.seeds().stream().map(seed -> seed.address).toList()),
                 this,
                 this,
@@ -152,6 +152,11 @@
         node.disk().append(additions, () -> !hasEnded, isSaved -> run(() -> saved(isSaved, done)));
     }
 
+    @Override
+    public void markComplete() {
+        node.disk().markTallyLogComplete(() -> !hasEnded);
+    }
+
     private void saved(boolean isSaved, Consumer<Boolean> done) {
         if (passFaultPoint()) {
             done.accept(isSaved);
--- a/src/test/java/myrtleladder/controlplane/model/TallyPartitionTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/TallyPartitionTest.java
@@ -168,6 +168,26 @@
         expectAllRead(4);
     }
 
+    @Test
+    void wipedNodeThatRestartsBeforeItHasCaughtUpStillCountsAsWiped() {
+        assertEquals(200, add(0, "a", 4));
+        node(0).wipe();
+        cut(List.of(0), List.of(1, 2, 3, 4, 5, 6, 7));
+        node(0).start(false);
+        cluster.clock.run(1_000);
+        node(0).kill();
+        node(0).start(false);
+        cluster.clock.run(10_000);
+        assertEquals(-1, read(0));
+        cluster.heal();
+        expectAllRead(4);
+        node(0).kill();
+        cut(List.of(0), List.of(1, 2, 3, 4, 5, 6, 7));
+        node(0).start(false);
+        cluster.clock.run(3_000);
+        assertEquals(4, read(0));
+    }
+
     @Test
     void machineThatAcknowledgedAloneInACutAndLostItsDiskHoldsNobodyUp() {
         node(4).powerOff();
--- a/src/test/java/myrtleladder/protocol/SampleMessages.java
+++ b/src/test/java/myrtleladder/protocol/SampleMessages.java
@@ -86,7 +86,8 @@
                 "zone-1",
                 "process-1",
                 List.of(TallyPosition.of("replica-3", sequence)),
-                List.of(TallyPosition.of("replica-3", sequence - 1)));
+                List.of(TallyPosition.of("replica-3", sequence - 1)),
+                true);
     }
 
     static Member member(String name) {
--- a/src/test/java/myrtleladder/replication/ManualScheduler.java
+++ b/src/test/java/myrtleladder/replication/ManualScheduler.java
@@ -5,7 +5,7 @@
 
 /** A scheduler whose clock the test advances; all times are in milliseconds. */
 public final class ManualScheduler implements Scheduler {
-    /** The first time of the clock. Chosen. */
+    /** The first time of the clock. */
     private static final long START_MS = 1_000_000;
 
     private final TimerQueue timers = new TimerQueue();
--- a/src/test/java/myrtleladder/tally/TallyPeerTest.java
+++ b/src/test/java/myrtleladder/tally/TallyPeerTest.java
@@ -18,7 +18,8 @@
                         "z1",
                         process,
                         List.of(TallyPosition.of("r", known)),
-                        List.of(TallyPosition.of("r", durable))));
+                        List.of(TallyPosition.of("r", durable)),
+                        true));
     }
 
     @Test
