--- a/src/main/java/myrtleladder/controlplane/BalancerRegistry.java
+++ b/src/main/java/myrtleladder/controlplane/BalancerRegistry.java
@@ -16,7 +16,7 @@
  * <p>Confined to the event loop.
  */
 final class BalancerRegistry {
-    /** After this time without a sign of life a balancer is removed. Chosen. */
+    /** After this time without a sign of life a balancer is removed. */
     private static final long TIMEOUT_MS = 3_500;
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
--- a/src/main/java/myrtleladder/controlplane/ConfigurationRequest.java
+++ b/src/main/java/myrtleladder/controlplane/ConfigurationRequest.java
@@ -14,7 +14,7 @@
  *     body have the same digest and are the same change
  */
 record ConfigurationRequest(ServerExchange exchange, String digest) {
-    /** Bytes of the SHA-256 hash that are kept; stored digests have this length. Chosen. */
+    /** Bytes of the SHA-256 hash that are kept; stored digests have this length. */
     private static final int DIGEST_BYTES = 16;
 
     /** Creates the request that an exchange carries. */
--- a/src/main/java/myrtleladder/controlplane/ControlPlane.java
+++ b/src/main/java/myrtleladder/controlplane/ControlPlane.java
@@ -43,13 +43,13 @@
 
     private static final String TALLIES_PATH = "/tallies/";
 
-    /** The interval of the periodic tasks. Chosen. */
+    /** The interval of the periodic tasks. */
     private static final long TICK_INTERVAL_MS = 100;
 
-    /** A longer time between two ticks means that the process was suspended. Chosen. */
+    /** A longer time between two ticks means that the process was suspended. */
     private static final long SUSPENSION_THRESHOLD_MS = 400;
 
-    /** An instance that misses more heartbeats than this is lost. Chosen. */
+    /** An instance that misses more heartbeats than this is lost. */
     private static final int MAX_MISSED_HEARTBEATS = 3;
 
     /** A silence of more intervals than this may mean that the instance comes back cold. */
--- a/src/main/java/myrtleladder/controlplane/HintedHandoff.java
+++ b/src/main/java/myrtleladder/controlplane/HintedHandoff.java
@@ -21,13 +21,13 @@
  * <p>Invariant: while there are hints, an attempt is scheduled. Confined to the event loop.
  */
 final class HintedHandoff {
-    /** How long a member has to answer. Chosen. */
+    /** How long a member has to answer. */
     private static final long REQUEST_TIMEOUT_MS = 500;
 
-    /** The time between two attempts. Chosen. */
+    /** The time between two attempts. */
     private static final long RETRY_INTERVAL_MS = 400;
 
-    /** The most hints for a member; further instances are dropped. Chosen: bounds the memory. */
+    /** The most hints for a member; further instances are dropped. Bounds the memory. */
     private static final int MAX_HINTS_PER_MEMBER = 2_000;
 
     private final Scheduler scheduler;
--- a/src/main/java/myrtleladder/controlplane/HttpResponses.java
+++ b/src/main/java/myrtleladder/controlplane/HttpResponses.java
@@ -23,7 +23,7 @@
 
     private static final byte[] NO_BODY = {};
 
-    /** Seconds after which a caller may ask again, as the header has it. Chosen. */
+    /** Seconds after which a caller may ask again, as the header has it. */
     private static final String RETRY_AFTER_S = "0.2";
 
     private HttpResponses() {}
--- a/src/main/java/myrtleladder/controlplane/InstanceRegistry.java
+++ b/src/main/java/myrtleladder/controlplane/InstanceRegistry.java
@@ -17,7 +17,7 @@
  * that a caller names. Confined to the event loop.
  */
 final class InstanceRegistry {
-    /** How long the record of an instance that is not ready outlasts its last sign. Chosen. */
+    /** How long the record of an instance that is not ready outlasts its last sign. */
     private static final long RETENTION_MS = 60_000;
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
--- a/src/main/java/myrtleladder/controlplane/InstanceReplicator.java
+++ b/src/main/java/myrtleladder/controlplane/InstanceReplicator.java
@@ -21,7 +21,7 @@
  * loop.
  */
 final class InstanceReplicator {
-    /** How long a member has to answer. Chosen. */
+    /** How long a member has to answer. */
     private static final long REQUEST_TIMEOUT_MS = 500;
 
     private final Peers peers;
--- a/src/main/java/myrtleladder/controlplane/InstanceSaveScheduler.java
+++ b/src/main/java/myrtleladder/controlplane/InstanceSaveScheduler.java
@@ -10,7 +10,7 @@
  * <p>Confined to the event loop.
  */
 final class InstanceSaveScheduler {
-    /** The time from a change to its save. Chosen. */
+    /** The time from a change to its save. */
     private static final long DELAY_MS = 700;
 
     private final Scheduler scheduler;
--- a/src/main/java/myrtleladder/controlplane/LoadTable.java
+++ b/src/main/java/myrtleladder/controlplane/LoadTable.java
@@ -16,13 +16,13 @@
  * to the event loop.
  */
 final class LoadTable {
-    /** How long a report counts. Derived: a poll's timeout and two waits of a poll. */
+    /** How long a report counts. A poll's timeout and two waits of a poll. */
     static final long REPORT_LIFETIME_MS = 1_500;
 
-    /** How long a new primary reports no sums. Derived: each live balancer has polled by then. */
+    /** How long a new primary reports no sums. Each live balancer has polled by then. */
     static final long WARM_UP_MS = 900;
 
-    /** The most upstreams in a response: bounds its bytes in large fleets. Chosen. */
+    /** The most upstreams in a response: bounds its bytes in large fleets. */
     private static final int MAX_LOADS_IN_RESPONSE = 200;
 
     /** Reports by balancer, in the order in which they arrived. */
--- a/src/main/java/myrtleladder/controlplane/Main.java
+++ b/src/main/java/myrtleladder/controlplane/Main.java
@@ -13,10 +13,10 @@
 public final class Main {
     private static final Logger LOG = LogManager.getLogger(Main.class);
 
-    /** How long the process outlasts its end, so that the last responses are sent. Chosen. */
+    /** How long the process outlasts its end, so that the last responses are sent. */
     private static final long LINGER_MS = 150;
 
-    /** What is left of the grace period for the end after the node has left. Chosen. */
+    /** What is left of the grace period for the end after the node has left. */
     private static final long GRACE_MARGIN_MS = 1_000;
 
     private Main() {}
--- a/src/main/java/myrtleladder/controlplane/OperatorRequestQueue.java
+++ b/src/main/java/myrtleladder/controlplane/OperatorRequestQueue.java
@@ -14,7 +14,7 @@
  * <p>Confined to the event loop.
  */
 final class OperatorRequestQueue {
-    /** The longest that a request waits for its turn before it is answered with 503. Chosen. */
+    /** The longest that a request waits for its turn before it is answered with 503. */
     private static final long QUEUE_TIMEOUT_MS = 900;
 
     private final Scheduler scheduler;
--- a/src/main/java/myrtleladder/controlplane/OrdinalAssigner.java
+++ b/src/main/java/myrtleladder/controlplane/OrdinalAssigner.java
@@ -19,7 +19,7 @@
  * <p>A function of its arguments, without state.
  */
 final class OrdinalAssigner {
-    /** How long a new instance waits for one of its zone to leave. Chosen. */
+    /** How long a new instance waits for one of its zone to leave. */
     private static final long PREDECESSOR_WAIT_MS = 5_000;
 
     private static final int FIRST_ORDINAL = InstanceRecord.UNASSIGNED_ORDINAL + 1;
--- a/src/main/java/myrtleladder/controlplane/PollRequestHandler.java
+++ b/src/main/java/myrtleladder/controlplane/PollRequestHandler.java
@@ -16,13 +16,13 @@
  * <p>Invariant: polls wait only while this node is primary. Confined to the event loop.
  */
 final class PollRequestHandler {
-    /** The shortest that a poll without update waits. Measured, see docs/decisions.md. */
+    /** The shortest that a poll without update waits. */
     private static final long MIN_WAIT_MS = 150;
 
-    /** The longest that a poll without update waits. Measured, see docs/decisions.md. */
+    /** The longest that a poll without update waits. */
     private static final long MAX_WAIT_MS = 450;
 
-    /** What each balancer adds to the wait: bounds the polls of all to 250 a second. Derived. */
+    /** What each balancer adds to the wait: bounds the polls of all to 250 a second. */
     private static final long WAIT_PER_BALANCER_MS = 4;
 
     private final Scheduler scheduler;
--- a/src/main/java/myrtleladder/controlplane/PromptDirectory.java
+++ b/src/main/java/myrtleladder/controlplane/PromptDirectory.java
@@ -16,10 +16,10 @@
  * <p>Invariant: both maps hold the same announcements. Confined to the event loop.
  */
 final class PromptDirectory {
-    /** The most announcements in the log; the oldest are dropped. Chosen: bounds the memory. */
+    /** The most announcements in the log; the oldest are dropped. Bounds the memory. */
     private static final int MAX_ANNOUNCEMENTS = 8_192;
 
-    /** The most announcements in a response: bounds its bytes. Chosen. */
+    /** The most announcements in a response: bounds its bytes. */
     private static final int MAX_PROMPTS_IN_RESPONSE = 128;
 
     private final TreeMap<Long, CachedPrompt> promptByRevision = new TreeMap<>();
--- a/src/main/java/myrtleladder/controlplane/QuotaAllocator.java
+++ b/src/main/java/myrtleladder/controlplane/QuotaAllocator.java
@@ -15,19 +15,19 @@
  * not limited. Confined to the event loop.
  */
 final class QuotaAllocator {
-    /** The part of the allowed overage by which a bucket's rate is raised. Chosen. */
+    /** The part of the allowed overage by which a bucket's rate is raised. */
     private static final double USED_SHARE_OF_OVERAGE = 0.5;
 
-    /** The part of the allowed slack that is added to a bucket's capacity. Chosen. */
+    /** The part of the allowed slack that is added to a bucket's capacity. */
     private static final double USED_SHARE_OF_SLACK = 0.25;
 
-    /** How full a bucket starts if another primary may have granted from it before. Chosen. */
+    /** How full a bucket starts if another primary may have granted from it before. */
     private static final double INITIAL_LEVEL_OF_NEW_PRIMARY = 0.1;
 
-    /** How full a bucket has to be for grants in advance. Chosen. */
+    /** How full a bucket has to be for grants in advance. */
     private static final double MIN_LEVEL_FOR_ADVANCE = 0.5;
 
-    /** The part of the slack that all balancers together may hold in advance. Chosen. */
+    /** The part of the slack that all balancers together may hold in advance. */
     private static final double SHARE_OF_SLACK_IN_ADVANCE = 0.25;
 
     private final double overageShare;
--- a/src/main/java/myrtleladder/controlplane/StateFileFormat.java
+++ b/src/main/java/myrtleladder/controlplane/StateFileFormat.java
@@ -26,13 +26,13 @@
     private static final int VERSION_OFFSET = 0;
     private static final int LENGTH_OFFSET = 4;
 
-    /** The content of an entry. Chosen: part of the format. */
+    /** The content of an entry. Part of the format. */
     private static final int CHUNK_BYTES = 8 * 1_024;
 
-    /** The page size of the table. Chosen: part of the format. */
+    /** The page size of the table. Part of the format. */
     private static final int PAGE_BYTES = 64 * 1_024;
 
-    /** The entries of a node of the table. Chosen: part of the format. */
+    /** The entries of a node of the table. Part of the format. */
     private static final int ENTRIES_PER_NODE = 4;
 
     private static final int CHECKSUM_BYTES = Long.BYTES;
--- a/src/main/java/myrtleladder/dataplane/AdmissionController.java
+++ b/src/main/java/myrtleladder/dataplane/AdmissionController.java
@@ -8,28 +8,28 @@
  * Stateless.
  */
 final class AdmissionController {
-    /** Shortest wait that clients of model services are thought to accept; chosen. */
+    /** Shortest wait that clients of model services are thought to accept. */
     private static final long MIN_ACCEPTED_WAIT_MS = 2_000;
 
-    /** Accepted wait as a multiple of the route's latency target; chosen. */
+    /** Accepted wait as a multiple of the route's latency target. */
     private static final long ACCEPTED_TARGET_LATENCIES = 4;
 
-    /** Accepted wait as a multiple of the route's longest gap between events; chosen. */
+    /** Accepted wait as a multiple of the route's longest gap between events. */
     private static final long ACCEPTED_EVENT_GAPS = 8;
 
-    /** Share of the accepted wait that requests of the highest priority may use up; chosen. */
+    /** Share of the accepted wait that requests of the highest priority may use up. */
     private static final double USABLE_SHARE = 0.75;
 
-    /** Reduction of {@link #USABLE_SHARE} for each lower priority; chosen. */
+    /** Reduction of {@link #USABLE_SHARE} for each lower priority. */
     private static final double USABLE_SHARE_PER_PRIORITY = 0.12;
 
-    /** Lower priorities are treated alike from here on; chosen. */
+    /** Lower priorities are treated alike from here on. */
     private static final int LOWEST_PRIORITY = 3;
 
-    /** Shortest time after which rejected clients are asked to retry; chosen. */
+    /** Shortest time after which rejected clients are asked to retry. */
     private static final long MIN_RETRY_AFTER_MS = 200;
 
-    /** Longest time after which rejected clients are asked to retry; chosen. */
+    /** Longest time after which rejected clients are asked to retry. */
     private static final long MAX_RETRY_AFTER_MS = 1_500;
 
     /**
--- a/src/main/java/myrtleladder/dataplane/Attempt.java
+++ b/src/main/java/myrtleladder/dataplane/Attempt.java
@@ -9,7 +9,7 @@
  * {@link State#ENDED}. Confined to the event loop.
  */
 final class Attempt implements ConnectionPool.ResponseListener {
-    /** Time in which a connection has to be established; chosen. */
+    /** Time in which a connection has to be established. */
     private static final long CONNECT_TIMEOUT_MS = 500;
 
     /** How far an attempt has come. */
--- a/src/main/java/myrtleladder/dataplane/ControlPoller.java
+++ b/src/main/java/myrtleladder/dataplane/ControlPoller.java
@@ -35,22 +35,22 @@
 final class ControlPoller {
     private static final Logger LOG = LogManager.getLogger(ControlPoller.class);
 
-    /** Timeout of a poll: the longest hold of a long poll and a round trip; derived. */
+    /** Timeout of a poll: the longest hold of a long poll and a round trip. */
     private static final long POLL_TIMEOUT_MS = 750;
 
-    /** Backoff before the next poll after a failed one; chosen. */
+    /** Backoff before the next poll after a failed one. */
     private static final long RETRY_BACKOFF_MS = 50;
 
-    /** Time for which an unresponsive control node is avoided; chosen. */
+    /** Time for which an unresponsive control node is avoided. */
     private static final long AVOIDANCE_MS = 1_500;
 
-    /** A failure after a longer time is a timeout, one before it a refusal to connect; chosen. */
+    /** A failure after a longer time is a timeout, one before it a refusal to connect. */
     private static final long UNRESPONSIVE_AFTER_MS = 400;
 
-    /** Time after which a primary is polled directly again that was out of reach; chosen. */
+    /** Time after which a primary is polled directly again that was out of reach. */
     private static final long RELAY_MS = 5_000;
 
-    /** Failures after which the seeds are read again; chosen. */
+    /** Failures after which the seeds are read again. */
     private static final int FAILURES_BEFORE_SEED_RELOAD = 6;
 
     private final Scheduler scheduler;
--- a/src/main/java/myrtleladder/dataplane/DataPlane.java
+++ b/src/main/java/myrtleladder/dataplane/DataPlane.java
@@ -12,10 +12,10 @@
  * ControlPoller} call it there.
  */
 final class DataPlane {
-    /** Interval at which deadlines and unresponsive upstreams are looked for; chosen. */
+    /** Interval at which deadlines and unresponsive upstreams are looked for. */
     private static final long CHECK_INTERVAL_MS = 50;
 
-    /** Mean interval of the reweighting, each drawn from half of it to one and a half; chosen. */
+    /** Mean interval of the reweighting, each drawn from half of it to one and a half. */
     private static final long REWEIGHT_INTERVAL_MS = 250;
 
     private final Scheduler scheduler;
--- a/src/main/java/myrtleladder/dataplane/ExtraDelayEstimate.java
+++ b/src/main/java/myrtleladder/dataplane/ExtraDelayEstimate.java
@@ -5,10 +5,10 @@
  * so that the upstream is used again. Confined to the event loop; belongs to one {@link Upstream}.
  */
 final class ExtraDelayEstimate {
-    /** Time in which the estimate halves without samples; chosen. */
+    /** Time in which the estimate halves without samples. */
     private static final double HALF_LIFE_MS = 800;
 
-    /** Weight of a sample: twice that of other averages; chosen. */
+    /** Weight of a sample: twice that of other averages. */
     private static final double SMOOTHING = 2 * OutlierEjection.SMOOTHING;
 
     private double delayMs;
--- a/src/main/java/myrtleladder/dataplane/FleetLoadSync.java
+++ b/src/main/java/myrtleladder/dataplane/FleetLoadSync.java
@@ -17,13 +17,13 @@
     /** Age up to which the others' sums are used: a poll's timeout and two long polls. */
     static final long MAX_LOAD_AGE_MS = 2_000;
 
-    /** Time after which a prefix is announced again that is in use; chosen. */
+    /** Time after which a prefix is announced again that is in use. */
     private static final long ANNOUNCE_INTERVAL_MS = 20_000;
 
-    /** Most announcements that wait to be acknowledged; others are dropped; chosen. */
+    /** Most announcements that wait to be acknowledged; others are dropped. */
     private static final int MAX_PENDING_ANNOUNCEMENTS = 512;
 
-    /** Most announcements in one report; chosen. */
+    /** Most announcements in one report. */
     private static final int MAX_ANNOUNCEMENTS_PER_REPORT = 64;
 
     /** Supplies the pending load while no request waits for its quota. */
--- a/src/main/java/myrtleladder/dataplane/HttpConnectionPool.java
+++ b/src/main/java/myrtleladder/dataplane/HttpConnectionPool.java
@@ -14,16 +14,16 @@
  * ones the last used is acquired first. Confined to the event loop.
  */
 final class HttpConnectionPool implements ConnectionPool {
-    /** Longest time for which a connection is kept idle; chosen. */
+    /** Longest time for which a connection is kept idle. */
     private static final long MAX_IDLE_MS = 4_000;
 
-    /** Idle time up to which a connection counts as recently used; chosen. */
+    /** Idle time up to which a connection counts as recently used. */
     private static final long RECENTLY_USED_MS = 1_200;
 
-    /** How long before the upstream's own timeout an idle connection is closed; chosen. */
+    /** How long before the upstream's own timeout an idle connection is closed. */
     private static final long KEEP_ALIVE_MARGIN_MS = 900;
 
-    /** Most idle connections to one upstream; chosen. */
+    /** Most idle connections to one upstream. */
     private static final int MAX_IDLE_CONNECTIONS = 24;
 
     private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
--- a/src/main/java/myrtleladder/dataplane/Main.java
+++ b/src/main/java/myrtleladder/dataplane/Main.java
@@ -29,22 +29,22 @@
     private static final Logger LOG = LogManager.getLogger(Main.class);
     private static final byte[] NO_BYTES = {};
 
-    /** Interval at which idle and slow client connections are looked for; chosen. */
+    /** Interval at which idle and slow client connections are looked for. */
     private static final long IDLE_CHECK_INTERVAL_MS = 500;
 
-    /** Time beyond a client connection's announced timeouts before it is closed; chosen. */
+    /** Time beyond a client connection's announced timeouts before it is closed. */
     private static final long CLIENT_TIMEOUT_MARGIN_MS = 1_000;
 
-    /** Time after SIGTERM for which new requests are still accepted; chosen. */
+    /** Time after SIGTERM for which new requests are still accepted. */
     private static final long ACCEPT_WHILE_DRAINING_MS = 2_500;
 
-    /** How long before the end of the grace period the process ends; chosen. */
+    /** How long before the end of the grace period the process ends. */
     private static final long GRACE_MARGIN_MS = 700;
 
-    /** Interval at which the end of draining is looked for; chosen. */
+    /** Interval at which the end of draining is looked for. */
     private static final long DRAIN_CHECK_INTERVAL_MS = 50;
 
-    /** Time without requests in flight in which the last bytes reach clients; chosen. */
+    /** Time without requests in flight in which the last bytes reach clients. */
     private static final long LAST_BYTES_MS = 150;
 
     private final NodeSettings settings;
--- a/src/main/java/myrtleladder/dataplane/OutlierEjection.java
+++ b/src/main/java/myrtleladder/dataplane/OutlierEjection.java
@@ -5,19 +5,19 @@
  * the first success. Confined to the event loop; belongs to one {@link Upstream}.
  */
 final class OutlierEjection {
-    /** Weight of a sample in exponential moving averages; chosen. */
+    /** Weight of a sample in exponential moving averages. */
     static final double SMOOTHING = 0.2;
 
-    /** Duration of the first ejection; chosen. */
+    /** Duration of the first ejection. */
     private static final long BASE_EJECTION_MS = 700;
 
-    /** Longest duration of an ejection; chosen. */
+    /** Longest duration of an ejection. */
     private static final long MAX_EJECTION_MS = 6_000;
 
-    /** Error rate beyond which a failure ejects; chosen. */
+    /** Error rate beyond which a failure ejects. */
     private static final double MAX_ERROR_RATE = 0.5;
 
-    /** Consecutive failures that eject; chosen. */
+    /** Consecutive failures that eject. */
     private static final int CONSECUTIVE_FAILURES = 3;
 
     private double errorRate;
--- a/src/main/java/myrtleladder/dataplane/PrefillPriority.java
+++ b/src/main/java/myrtleladder/dataplane/PrefillPriority.java
@@ -9,10 +9,10 @@
  * prompt hardly delays a long one, a long one makes many short ones late. Stateless.
  */
 final class PrefillPriority {
-    /** Part of the latency target that reading takes in the first class; chosen. */
+    /** Part of the latency target that reading takes in the first class. */
     private static final double SHORT_PREFILL = 0.15;
 
-    /** Part of the latency target that reading takes in the second class; chosen. */
+    /** Part of the latency target that reading takes in the second class. */
     private static final double MEDIUM_PREFILL = 0.4;
 
     /** Number of prefill classes, and so the distance of two tenant priorities. */
--- a/src/main/java/myrtleladder/dataplane/PrefillTimeEstimator.java
+++ b/src/main/java/myrtleladder/dataplane/PrefillTimeEstimator.java
@@ -7,31 +7,31 @@
  * spoils single samples. Confined to the event loop.
  */
 final class PrefillTimeEstimator {
-    /** Estimate without samples; chosen. */
+    /** Estimate without samples. */
     private static final double INITIAL_MS_PER_TOKEN = 0.016;
 
-    /** Lower bound of the time for a token; chosen. */
+    /** Lower bound of the time for a token. */
     private static final double MIN_MS_PER_TOKEN = 0.002;
 
-    /** Upper bound of the time for a token; chosen. */
+    /** Upper bound of the time for a token. */
     private static final double MAX_MS_PER_TOKEN = 0.2;
 
-    /** Base without samples; chosen. */
+    /** Base without samples. */
     private static final double INITIAL_BASE_MS = 8;
 
-    /** Lower bound of the base; chosen. */
+    /** Lower bound of the base. */
     private static final double MIN_BASE_MS = 1;
 
-    /** Upper bound of the base; chosen. */
+    /** Upper bound of the base. */
     private static final double MAX_BASE_MS = 500;
 
-    /** Prompts from this length on sample the time for a token, shorter ones the base; chosen. */
+    /** Prompts from this length on sample the time for a token, shorter ones the base. */
     private static final int LONG_PROMPT_TOKENS = 1_500;
 
-    /** Ratio of a step after many samples; chosen. */
+    /** Ratio of a step after many samples. */
     private static final double MIN_STEP = 0.03;
 
-    /** Ratio of the first step, divided by the number of samples; chosen. */
+    /** Ratio of the first step, divided by the number of samples. */
     private static final double INITIAL_STEP = 0.3;
 
     private double msPerToken = INITIAL_MS_PER_TOKEN;
--- a/src/main/java/myrtleladder/dataplane/PrefixCacheAwarePolicy.java
+++ b/src/main/java/myrtleladder/dataplane/PrefixCacheAwarePolicy.java
@@ -11,25 +11,25 @@
  * that sees the same upstreams. Confined to the event loop; docs/decisions.md has the figures.
  */
 final class PrefixCacheAwarePolicy {
-    /** Share of prefixes that affinity upstreams had cached; measured, see docs/decisions.md. */
+    /** Share of prefixes that affinity upstreams had cached, see docs/decisions.md. */
     private static final double AFFINITY_HIT_SHARE = 0.7;
 
-    /** Share of prefixes that second affinity upstreams had cached; measured. */
+    /** Share of prefixes that second affinity upstreams had cached. */
     private static final double SECOND_AFFINITY_HIT_SHARE = 0.15;
 
-    /** Upstreams whose cost is within this of the least are picked alike; chosen. */
+    /** Upstreams whose cost is within this of the least are picked alike. */
     private static final double TIE_MARGIN_MS = 25;
 
-    /** How much shorter the wait at the second affinity upstream has to be; chosen. */
+    /** How much shorter the wait at the second affinity upstream has to be. */
     private static final double DETOUR_MS = 40;
 
-    /** Weight of the time in which a prefix is read anew, which delays others; measured. */
+    /** Weight of the time in which a prefix is read anew, which delays others. */
     private static final double REREAD_COST_FACTOR = 3;
 
-    /** Delay by each request that waits for a slot in the batch; chosen. */
+    /** Delay by each request that waits for a slot in the batch. */
     private static final double DELAY_PER_QUEUED_REQUEST_MS = 40;
 
-    /** Bound of the error rate's effect on the expected time; chosen. */
+    /** Bound of the error rate's effect on the expected time. */
     private static final double MIN_SUCCESS_RATE = 0.1;
 
     /** Place of an upstream in the rendezvous order of a prefix. */
--- a/src/main/java/myrtleladder/dataplane/PrefixCacheModel.java
+++ b/src/main/java/myrtleladder/dataplane/PrefixCacheModel.java
@@ -9,10 +9,10 @@
  * to the event loop; belongs to one {@link Upstream}.
  */
 final class PrefixCacheModel {
-    /** Time for which a prefix is thought to stay cached; chosen. */
+    /** Time for which a prefix is thought to stay cached. */
     private static final long CACHE_TTL_MS = 90_000;
 
-    /** Most announced prefixes that are remembered, the newest; chosen. */
+    /** Most announced prefixes that are remembered, the newest. */
     private static final int MAX_ANNOUNCED = 4_096;
 
     private static final long NEVER = Long.MIN_VALUE / 2;
--- a/src/main/java/myrtleladder/dataplane/ReportedLoad.java
+++ b/src/main/java/myrtleladder/dataplane/ReportedLoad.java
@@ -5,7 +5,7 @@
  * by commas. Confined to the event loop; belongs to one {@link Upstream}.
  */
 final class ReportedLoad {
-    /** Age up to which a report is used; chosen. */
+    /** Age up to which a report is used. */
     private static final long MAX_AGE_MS = 3_000;
 
     private static final long NEVER = Long.MIN_VALUE / 2;
--- a/src/main/java/myrtleladder/dataplane/RequestRouter.java
+++ b/src/main/java/myrtleladder/dataplane/RequestRouter.java
@@ -21,13 +21,13 @@
     private static final byte[] NO_BYTES = {};
     private static final String API_KEY_SCHEME = "Token ";
 
-    /** Time after which clients retry while there is no configuration yet; chosen. */
+    /** Time after which clients retry while there is no configuration yet. */
     private static final long NOT_CONFIGURED_RETRY_AFTER_MS = 300;
 
-    /** The same while this balancer shuts down: other balancers serve; chosen. */
+    /** The same while this balancer shuts down: other balancers serve. */
     private static final long SHUTDOWN_RETRY_AFTER_MS = 10;
 
-    /** Longest time after which clients over their quota are asked to retry; chosen. */
+    /** Longest time after which clients over their quota are asked to retry. */
     private static final long MAX_QUOTA_RETRY_AFTER_MS = 2_000;
 
     private final DataPlane dataPlane;
--- a/src/main/java/myrtleladder/dataplane/ResponseAssembler.java
+++ b/src/main/java/myrtleladder/dataplane/ResponseAssembler.java
@@ -15,7 +15,7 @@
 final class ResponseAssembler {
     private static final byte[] NO_BYTES = {};
 
-    /** Longest body that is buffered; chosen. */
+    /** Longest body that is buffered. */
     private static final int MAX_BUFFERED_BYTES = 4 * 1_024 * 1_024;
 
     private final ServerExchange client;
--- a/src/main/java/myrtleladder/dataplane/RetryBudget.java
+++ b/src/main/java/myrtleladder/dataplane/RetryBudget.java
@@ -9,13 +9,13 @@
  * the slack. Confined to the event loop.
  */
 final class RetryBudget {
-    /** Part of the configured ratio that is used; chosen. */
+    /** Part of the configured ratio that is used. */
     private static final double USED_RATIO = 0.7;
 
-    /** Part of the configured slack that is used; chosen. */
+    /** Part of the configured slack that is used. */
     private static final double USED_SLACK = 0.6;
 
-    /** Filling of a new balancer's bucket: its last process used some; chosen. */
+    /** Filling of a new balancer's bucket: its last process used some. */
     private static final double INITIAL_FILLING = 0.5;
 
     private final double earnedPerRequest;
--- a/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
+++ b/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
@@ -18,25 +18,25 @@
  * all of it. Confined to the event loop.
  */
 final class TenantQuotaClient {
-    /** Time in which the primary has to answer; chosen. */
+    /** Time in which the primary has to answer. */
     private static final long REQUEST_TIMEOUT_MS = 250;
 
-    /** Time without requests to a primary that did not answer; chosen. */
+    /** Time without requests to a primary that did not answer. */
     private static final long RETRY_INTERVAL_MS = 400;
 
-    /** Longest time for which a bucket found empty is not asked for again; chosen. */
+    /** Longest time for which a bucket found empty is not asked for again. */
     private static final long MAX_EMPTY_MS = 100;
 
-    /** Time without a primary for which the equal part is used; chosen. */
+    /** Time without a primary for which the equal part is used. */
     private static final long EQUAL_PART_DURATION_MS = 4_000;
 
-    /** Share of an equal part of the quota that is used at first; chosen. */
+    /** Share of an equal part of the quota that is used at first. */
     private static final double EQUAL_PART = 0.85;
 
-    /** Share of an equal part of the quota that is used from then on; chosen. */
+    /** Share of an equal part of the quota that is used from then on. */
     private static final double REDUCED_PART = 0.25;
 
-    /** Capacity of a fallback bucket, in seconds of its rate; chosen. */
+    /** Capacity of a fallback bucket, in seconds of its rate. */
     private static final double FALLBACK_CAPACITY_S = 0.5;
 
     /** Keeps a division by the rate finite. */
--- a/src/main/java/myrtleladder/dataplane/UnresponsiveUpstreamDetector.java
+++ b/src/main/java/myrtleladder/dataplane/UnresponsiveUpstreamDetector.java
@@ -7,16 +7,16 @@
  * event loop.
  */
 final class UnresponsiveUpstreamDetector {
-    /** Timeout of a model upstream without backlog; chosen. */
+    /** Timeout of a model upstream without backlog. */
     private static final long MODEL_TIMEOUT_MS = 700;
 
-    /** Multiple of the time that reading the backlog takes by which it extends it; chosen. */
+    /** Multiple of the time that reading the backlog takes by which it extends it. */
     private static final double BACKLOG_FACTOR = 2;
 
-    /** Shortest timeout of other upstreams; chosen. */
+    /** Shortest timeout of other upstreams. */
     private static final long MIN_PLAIN_TIMEOUT_MS = 400;
 
-    /** Timeout of other upstreams as a multiple of their mean response time; chosen. */
+    /** Timeout of other upstreams as a multiple of their mean response time. */
     private static final double RESPONSE_TIME_FACTOR = 6;
 
     private final PrefillTimeEstimator prefillTime;
--- a/src/main/java/myrtleladder/dataplane/Upstream.java
+++ b/src/main/java/myrtleladder/dataplane/Upstream.java
@@ -14,7 +14,7 @@
  * upstreams and updates their records.
  */
 final class Upstream extends EarliestDeadlineFirstScheduler.Candidate {
-    /** Backlog that counts as full utilisation; chosen. */
+    /** Backlog that counts as full utilisation. */
     private static final double FULL_BACKLOG_MS = 1_000;
 
     private final int key;
--- a/src/main/java/myrtleladder/dataplane/UpstreamDirectory.java
+++ b/src/main/java/myrtleladder/dataplane/UpstreamDirectory.java
@@ -25,7 +25,7 @@
  * the event loop.
  */
 final class UpstreamDirectory {
-    /** Incarnations remembered as left; all are forgotten when there are more; chosen. */
+    /** Incarnations remembered as left; all are forgotten when there are more. */
     private static final int MAX_REMEMBERED_LEFT = 5_000;
 
     private final Map<String, Upstream> byId = new LinkedHashMap<>();
--- a/src/main/java/myrtleladder/dataplane/UpstreamPicker.java
+++ b/src/main/java/myrtleladder/dataplane/UpstreamPicker.java
@@ -18,19 +18,19 @@
  * EarliestDeadlineFirstScheduler}). Confined to the event loop.
  */
 final class UpstreamPicker {
-    /** Bias for model services; chosen so that a clearly shorter queue nearly always wins. */
+    /** Bias for model services, so that a clearly shorter queue nearly always wins. */
     private static final double MODEL_BIAS = 3;
 
-    /** Bias for other services; chosen. */
+    /** Bias for other services. */
     private static final double PLAIN_BIAS = 4;
 
-    /** Ejected upstreams are picked too if less than this share is healthy; chosen. */
+    /** Ejected upstreams are picked too if less than this share is healthy. */
     private static final double PANIC_THRESHOLD = 0.4;
 
-    /** Share of an upstream's connection limit that all balancers use together; chosen. */
+    /** Share of an upstream's connection limit that all balancers use together. */
     private static final double CONNECTION_LIMIT_SHARE = 0.9;
 
-    /** Connections that each balancer may open to an upstream in any case; chosen. */
+    /** Connections that each balancer may open to an upstream in any case. */
     private static final int MIN_CONNECTION_LIMIT = 2;
 
     private final UpstreamDirectory directory;
--- a/src/main/java/myrtleladder/dataplane/Warmup.java
+++ b/src/main/java/myrtleladder/dataplane/Warmup.java
@@ -40,16 +40,16 @@
  * plane. {@link #run} is called by the command line; all else is confined to the event loop.
  */
 final class Warmup {
-    /** Time in which the run has to end; chosen. */
+    /** Time in which the run has to end. */
     private static final long TIMEOUT_MS = 10_000;
 
-    /** Time for the start before the first request, and for the last responses; chosen. */
+    /** Time for the start before the first request, and for the last responses. */
     private static final long SETTLE_MS = 500;
 
-    /** Interval between rounds of requests; chosen. */
+    /** Interval between rounds of requests. */
     private static final long ROUND_INTERVAL_MS = 20;
 
-    /** Rounds of requests; chosen. */
+    /** Rounds of requests. */
     private static final int ROUNDS = 40;
 
     private static final String HOST = "127.0.0.1";
--- a/src/main/java/myrtleladder/dataplane/WeightsRollout.java
+++ b/src/main/java/myrtleladder/dataplane/WeightsRollout.java
@@ -15,12 +15,12 @@
  */
 final class WeightsRollout {
     /**
-     * What a request costs more on older weights, as time; chosen: a request that is late by a
-     * third of the shortest latency target is worth less than one on older weights.
+     * What a request costs more on older weights, as time; a request that is late by a third of the
+     * shortest latency target is worth less than one on older weights.
      */
     static final double OLDER_WEIGHTS_COST_MS = 200;
 
-    /** How long before the bound older weights are avoided already; chosen: a send takes less. */
+    /** How long before the bound older weights are avoided already; a send takes less. */
     private static final long BOUND_MARGIN_MS = 200;
 
     private final long boundMs;
--- a/src/main/java/myrtleladder/protocol/MessageCodec.java
+++ b/src/main/java/myrtleladder/protocol/MessageCodec.java
@@ -34,7 +34,7 @@
                     TallySyncRequest.class,
                     TallySyncResponse.class);
 
-    /** Bytes of a buffer of the encoder, which adds further ones as needed. Chosen. */
+    /** Bytes of a buffer of the encoder, which adds further ones as needed. */
     private static final int BUFFER_BYTES = 1_024;
 
     private MessageCodec() {}
--- a/src/main/java/myrtleladder/protocol/Snapshot.java
+++ b/src/main/java/myrtleladder/protocol/Snapshot.java
@@ -8,10 +8,7 @@
  * drained zones.
  */
 public final class Snapshot {
-    /**
-     * Number of remembered digests, by which change requests that arrive again are recognized.
-     * Chosen.
-     */
+    /** Number of remembered digests, by which change requests that arrive again are recognized. */
     public static final int MAX_CHANGE_DIGESTS = 2_000;
 
     /** The configuration as compressed JSON, empty before the first. */
--- a/src/main/java/myrtleladder/replication/PrimaryHeartbeats.java
+++ b/src/main/java/myrtleladder/replication/PrimaryHeartbeats.java
@@ -17,7 +17,7 @@
  * Confined to the event loop; used by {@link PrimaryState} alone.
  */
 final class PrimaryHeartbeats {
-    /** Ends a confirmation only after the timeout of its requests was delivered. Derived. */
+    /** Ends a confirmation only after the timeout of its requests was delivered. */
     private static final long CONFIRMATION_TIMEOUT_MS =
             ReplicationTiming.REQUEST_TIMEOUT_MS + ReplicationTiming.POLL_INTERVAL_MS;
 
--- a/src/main/java/myrtleladder/replication/ReplicaOptions.java
+++ b/src/main/java/myrtleladder/replication/ReplicaOptions.java
@@ -16,13 +16,13 @@
  */
 public record ReplicaOptions(
         Member self, int toleratedFailures, boolean bootstrap, List<Member> seeds, long catchUpMs) {
-    /** Part of the catch-up time after which a member has timed out. Chosen. */
+    /** Part of the catch-up time after which a member has timed out. */
     private static final double MEMBER_TIMEOUT_FRACTION = 0.375;
 
-    /** Lower bound of the member timeout. Chosen. */
+    /** Lower bound of the member timeout. */
     private static final long MINIMUM_MEMBER_TIMEOUT_MS = 800;
 
-    /** Upper bound of the member timeout. Chosen. */
+    /** Upper bound of the member timeout. */
     private static final long MAXIMUM_MEMBER_TIMEOUT_MS = 3_000;
 
     /** Returns the number of replicas that save a change before it is acknowledged. */
