Cut control processes by a view that has settled and is still in effect at the cut

Seen beside load of 20 to 30: serviceRestsWhileTheMajorityHasNoCopyOfTheState went from generation 18 to 35 where nothing should be acknowledged, and majorityGoesOnWithoutTheLeaderAndAnotherVoter found no change acknowledged. Cause as far as reading tells: both read the replicas, then cut; if a slow replica is replaced in between, the cut leaves a copy on the other side. Now the view has to stand for 1.5 s, is compared right after the cut, and the cut is made anew if it changed; what is asserted after the cut is as before, and the leader's return is awaited with that of all.

--- a/src/test/java/myrtleladder/controlplane/ControlPartitionTest.java
+++ b/src/test/java/myrtleladder/controlplane/ControlPartitionTest.java
@@ -21,6 +21,9 @@
  * test bed, while operators, balancers and upstreams call them.
  */
 class ControlPartitionTest {
+    /** Cuts after which the view is not compared any more. */
+    private static final int MAX_CUTS = 5;
+
     private static final int MAX_PRIMARIES = 10;
     private static final long RECOVERY_TIMEOUT_MS = 10_000;
     private static final LinkFault SLOW = new LinkFault(false, 120_000, 60_000, 0, 0, 0);
@@ -71,6 +74,43 @@
         }
     }
 
+    /** Chooses one side of a partition by the view that is in effect. */
+    private interface SideChooser {
+        List<String> choose() throws InterruptedException;
+    }
+
+    /** Cuts one side off by the view in effect; anew if the view changed just before the cut. */
+    private void cutOff(ControlProcesses processes, SideChooser chooser) throws Exception {
+        for (int attempt = 1; ; attempt++) {
+            String view = processes.awaitSettledView();
+            List<String> side = chooser.choose();
+            List<String> others = new ArrayList<>(processes.names());
+            others.removeAll(side);
+            cutBetween(side, others);
+            if (attempt == MAX_CUTS || processes.view().equals(view)) {
+                return;
+            }
+            proxy.bring(new Fault.HealAll());
+            processes.awaitMembers(processes.names());
+        }
+    }
+
+    /** The leader and a voter that is no replica, so that the others have a majority and a copy. */
+    private static List<String> leaderAndVoter(ControlProcesses processes)
+            throws InterruptedException {
+        String leader = processes.awaitLeader();
+        List<String> voters = new ArrayList<>(processes.names());
+        voters.removeAll(processes.replicas());
+        return List.of(leader, voters.get(0));
+    }
+
+    private static List<String> bothReplicas(ControlProcesses processes)
+            throws InterruptedException {
+        List<String> replicas = processes.replicas();
+        assertEquals(2, replicas.size());
+        return replicas;
+    }
+
     private static List<String> without(List<String> names, String name) {
         return names.stream().filter(other -> !other.equals(name)).toList();
     }
@@ -137,19 +177,10 @@
         try (ControlProcesses processes = started(5);
                 ControlTraffic traffic = new ControlTraffic(processes)) {
             awaitChanges(traffic, 2);
-            String leader = processes.awaitLeader();
-            List<String> replicas = processes.replicas();
-            List<String> minority = new ArrayList<>(List.of(leader));
-            List<String> majority = new ArrayList<>(without(replicas, leader));
-            for (String voter : processes.names()) {
-                if (!replicas.contains(voter)) {
-                    (minority.size() < 2 ? minority : majority).add(voter);
-                }
-            }
-            cutBetween(minority, majority);
+            cutOff(processes, () -> leaderAndVoter(processes));
             awaitChanges(traffic, 3);
             proxy.bring(new Fault.HealAll());
-            processes.awaitMembers(List.of(leader));
+            processes.awaitMembers(processes.names());
             awaitChanges(traffic, 3);
             assertEquals(List.of(), traffic.violationsAtEnd(MAX_PRIMARIES));
         }
@@ -160,11 +191,7 @@
         try (ControlProcesses processes = started(5);
                 ControlTraffic traffic = new ControlTraffic(processes)) {
             awaitChanges(traffic, 2);
-            List<String> replicas = processes.replicas();
-            assertEquals(2, replicas.size());
-            List<String> voters = new ArrayList<>(processes.names());
-            voters.removeAll(replicas);
-            cutBetween(replicas, voters);
+            cutOff(processes, () -> bothReplicas(processes));
             Thread.sleep(2_000); // a change that was on its way may still be acknowledged
             long before = traffic.newestAcknowledged();
             Thread.sleep(2_000);
--- a/src/test/java/myrtleladder/controlplane/ControlProcesses.java
+++ b/src/test/java/myrtleladder/controlplane/ControlProcesses.java
@@ -41,6 +41,9 @@
 
     private static final Duration TIMEOUT = Duration.ofSeconds(15);
 
+    /** A view that has not changed for this long is taken for settled. */
+    private static final Duration SETTLED = Duration.ofMillis(1_500);
+
     /** How long processes may take to start and to form a group; for an overloaded machine. */
     private static final Duration START_TIMEOUT = Duration.ofSeconds(45);
 
@@ -321,6 +324,31 @@
         return namesIn(view.substring(view.indexOf("replicas ["), view.indexOf("group [")));
     }
 
+    /** The view that is in effect, as the leader's status tells it. */
+    String view() throws InterruptedException {
+        String status = leadersView();
+        int groupAt = status.indexOf("group [");
+        return status.substring(status.indexOf("primary "), status.indexOf(']', groupAt));
+    }
+
+    /** Waits until the view has not changed for a while, and returns it. */
+    String awaitSettledView() throws InterruptedException {
+        long endNs = System.nanoTime() + START_TIMEOUT.toNanos();
+        String settled = view();
+        long sinceNs = System.nanoTime();
+        while (System.nanoTime() - sinceNs < SETTLED.toNanos()) {
+            if (System.nanoTime() > endNs) {
+                throw new AssertionError("the view does not settle" + logs());
+            }
+            String now = view();
+            if (!now.equals(settled)) {
+                settled = now;
+                sinceNs = System.nanoTime();
+            }
+        }
+        return settled;
+    }
+
     /** Waits until the leader's view has all of these nodes in its group. */
     void awaitMembers(List<String> members) throws InterruptedException {
         long endNs = System.nanoTime() + START_TIMEOUT.toNanos();
