Process the next operator request whatever the one before it does

OperatorRequestQueue marked a request as in progress and cleared the mark only in a callback that the processor had to run; an exception on the way skipped it, and nothing was logged.

Now the queue alone decides when a request has been processed: a handler returns the change that it proposes, or nothing, and has no callback to forget. A step that throws an exception or an error is logged with its stack and answered with 500. The end of a request of an earlier epoch no longer releases the queue for a second one at a time.

--- a/src/main/java/myrtleladder/controlplane/ConfigurationRequestHandler.java
+++ b/src/main/java/myrtleladder/controlplane/ConfigurationRequestHandler.java
@@ -1,6 +1,7 @@
 package myrtleladder.controlplane;
 
 import java.util.Map;
+import java.util.Optional;
 import myrtleladder.configuration.Compression;
 import myrtleladder.configuration.ConfigurationDocument;
 import myrtleladder.configuration.JsonCodec;
@@ -47,23 +48,23 @@
     /** Queues a request. */
     void handle(ServerExchange exchange) {
         ConfigurationRequest request = ConfigurationRequest.of(exchange);
-        queue.add(exchange, onProcessed -> process(request, onProcessed));
+        queue.add(exchange, () -> process(request));
     }
 
     /**
      * Processes a request, after a majority has confirmed since its arrival that this node is
      * primary.
      */
-    private void process(ConfigurationRequest request, Runnable onProcessed) {
+    private Optional<ProposedChange> process(ConfigurationRequest request) {
+        if (request.isReplacement() || request.isPatch()) {
+            return processChange(request);
+        }
         if (request.isRead()) {
             respondWithDocument(request.exchange());
-            onProcessed.run();
-        } else if (request.isReplacement() || request.isPatch()) {
-            processChange(request, onProcessed);
         } else {
             HttpResponses.sendEmpty(request.exchange(), HttpResponses.METHOD_NOT_ALLOWED);
-            onProcessed.run();
         }
+        return Optional.empty();
     }
 
     private void respondWithDocument(ServerExchange exchange) {
@@ -74,32 +75,23 @@
         }
     }
 
-    private void processChange(ConfigurationRequest request, Runnable onProcessed) {
+    private Optional<ProposedChange> processChange(ConfigurationRequest request) {
         ChangeValidation validation = ChangeValidation.validate(request, committed);
         if (validation instanceof ChangeValidation.Valid valid) {
-            replicate(request, valid.next(), onProcessed);
-        } else if (validation instanceof ChangeValidation.Rejected rejected) {
+            return Optional.of(
+                    new ProposedChange(changeTo(valid.next(), request), () -> commit(request)));
+        }
+        if (validation instanceof ChangeValidation.Rejected rejected) {
             HttpResponses.sendError(request.exchange(), rejected.status(), rejected.reason());
-            onProcessed.run();
         } else {
             acknowledge(request);
-            onProcessed.run();
         }
+        return Optional.empty();
     }
 
-    private void replicate(
-            ConfigurationRequest request, ConfigurationDocument next, Runnable onProcessed) {
-        replica.submit(
-                StateChange.ofDocument(
-                        Compression.deflate(next.bytes()), next.generation(), request.digest()),
-                isCommitted -> {
-                    if (isCommitted) {
-                        commit(request);
-                    } else {
-                        HttpResponses.sendUnavailable(request.exchange());
-                    }
-                    onProcessed.run();
-                });
+    private static StateChange changeTo(ConfigurationDocument next, ConfigurationRequest request) {
+        return StateChange.ofDocument(
+                Compression.deflate(next.bytes()), next.generation(), request.digest());
     }
 
     private void commit(ConfigurationRequest request) {
--- a/src/main/java/myrtleladder/controlplane/DrainRequestHandler.java
+++ b/src/main/java/myrtleladder/controlplane/DrainRequestHandler.java
@@ -1,6 +1,7 @@
 package myrtleladder.controlplane;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -58,43 +59,38 @@
             HttpResponses.sendError(
                     exchange, HttpResponses.BAD_REQUEST, "the zone's name is not a valid one");
         } else if (method.equals(DRAIN) || method.equals(CANCEL_DRAIN)) {
-            queue.add(exchange, onProcessed -> process(exchange, zone, onProcessed));
+            queue.add(exchange, () -> process(exchange, zone));
         } else {
             HttpResponses.sendEmpty(exchange, HttpResponses.METHOD_NOT_ALLOWED);
         }
     }
 
-    private void process(ServerExchange exchange, String zone, Runnable onProcessed) {
+    private Optional<ProposedChange> process(ServerExchange exchange, String zone) {
         SortedSet<String> zones = new TreeSet<>(committed.drainedZones());
         boolean isCancellation = exchange.head().method().equals(CANCEL_DRAIN);
         boolean isChange = isCancellation ? zones.remove(zone) : zones.add(zone);
         Runnable beforeCommit = isCancellation ? () -> beforeCancelDrain.accept(zone) : () -> {};
         beforeCommit.run();
-        if (isChange) {
-            replicate(exchange, List.copyOf(zones), beforeCommit, onProcessed);
-        } else {
+        if (!isChange) {
             HttpResponses.sendAcknowledgement(exchange);
-            onProcessed.run();
+            return Optional.empty();
         }
+        StateChange change = StateChange.ofDrainedZones(replica.snapshot(), List.copyOf(zones));
+        return Optional.of(
+                new ProposedChange(
+                        change,
+                        () -> {
+                            beforeCommit.run();
+                            commit(exchange);
+                        }));
     }
 
-    private void replicate(
-            ServerExchange exchange,
-            List<String> zones,
-            Runnable beforeCommit,
-            Runnable onProcessed) {
-        replica.submit(
-                StateChange.ofDrainedZones(replica.snapshot(), zones),
-                isCommitted -> {
-                    if (isCommitted) {
-                        beforeCommit.run();
-                        committed.commit(replica.snapshot());
-                        LOG.info("committed drained zones {} in epoch {}", zones, replica.epoch());
-                        HttpResponses.sendAcknowledgement(exchange);
-                    } else {
-                        HttpResponses.sendUnavailable(exchange);
-                    }
-                    onProcessed.run();
-                });
+    private void commit(ServerExchange exchange) {
+        committed.commit(replica.snapshot());
+        LOG.info(
+                "committed drained zones {} in epoch {}",
+                committed.drainedZones(),
+                replica.epoch());
+        HttpResponses.sendAcknowledgement(exchange);
     }
 }
--- a/src/main/java/myrtleladder/controlplane/HttpResponses.java
+++ b/src/main/java/myrtleladder/controlplane/HttpResponses.java
@@ -18,6 +18,7 @@
     static final int NOT_FOUND = 404;
     static final int METHOD_NOT_ALLOWED = 405;
     static final int PRECONDITION_FAILED = 412;
+    static final int INTERNAL_SERVER_ERROR = 500;
     static final int SERVICE_UNAVAILABLE = 503;
     static final int GATEWAY_TIMEOUT = 504;
 
--- a/src/main/java/myrtleladder/controlplane/OperatorRequestQueue.java
+++ b/src/main/java/myrtleladder/controlplane/OperatorRequestQueue.java
@@ -1,9 +1,12 @@
 package myrtleladder.controlplane;
 
 import java.util.ArrayDeque;
+import java.util.Optional;
 import myrtleladder.http.ServerExchange;
 import myrtleladder.replication.Replica;
 import myrtleladder.scheduler.Scheduler;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Queue of operators' requests that read or change the replicated state. The primary processes them
@@ -11,31 +14,47 @@
  * primary ({@link Replica#confirm}). If a request waits too long or the primary is not confirmed,
  * the response is 503 and the operator retries.
  *
- * <p>Confined to the event loop.
+ * <p>Invariant: a request that fails in any way, also by an unexpected exception, is answered and
+ * leaves the queue, so that the next one is processed. Only this class decides when a request has
+ * been processed. Confined to the event loop.
  */
 final class OperatorRequestQueue {
+    private static final Logger LOG = LogManager.getLogger(OperatorRequestQueue.class);
+
     /** Maximum time that a request waits in the queue before it is answered with 503. */
     private static final long QUEUE_TIMEOUT_MS = 900;
 
     private final Scheduler scheduler;
-    private final ArrayDeque<WaitingRequest> queue = new ArrayDeque<>();
+    private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>();
     private Replica replica;
     private boolean isPrimary;
-    private boolean isProcessing;
+
+    /** The request that is being processed, null if there is none. */
+    private QueuedRequest current;
 
     /** Processes a request after this node has been confirmed as primary. */
     interface Processor {
-        /** Responds to the request and runs {@code onProcessed} exactly once, possibly later. */
-        void process(Runnable onProcessed);
+        /**
+         * Responds to the request and returns empty, or returns the change that has to be committed
+         * before the response. May throw an exception, upon which the response is 500.
+         */
+        Optional<ProposedChange> process();
     }
 
-    /**
-     * A queued request.
-     *
-     * @param receivedAtMs arrival time on the scheduler's clock, in milliseconds
-     */
-    private record WaitingRequest(
-            ServerExchange exchange, long receivedAtMs, Processor processor) {}
+    /** A request that waits or is being processed; compared by identity. */
+    private static final class QueuedRequest {
+        final ServerExchange exchange;
+        final Processor processor;
+
+        /** Arrival time on the scheduler's clock, in milliseconds. */
+        final long receivedAtMs;
+
+        QueuedRequest(ServerExchange exchange, Processor processor, long receivedAtMs) {
+            this.exchange = exchange;
+            this.processor = processor;
+            this.receivedAtMs = receivedAtMs;
+        }
+    }
 
     OperatorRequestQueue(Scheduler scheduler) {
         this.scheduler = scheduler;
@@ -49,7 +68,7 @@
     /** Called when this node becomes primary. */
     void onPrimacyGained() {
         isPrimary = true;
-        isProcessing = false;
+        current = null;
     }
 
     /**
@@ -57,16 +76,16 @@
      */
     void onPrimacyLost() {
         isPrimary = false;
-        isProcessing = false;
+        current = null;
         while (!queue.isEmpty()) {
-            HttpResponses.redirectToPrimary(queue.poll().exchange(), replica);
+            HttpResponses.redirectToPrimary(queue.poll().exchange, replica);
         }
     }
 
     /** Responds to the requests that have waited too long and processes the next one. */
     void tick(long nowMs) {
-        while (!queue.isEmpty() && nowMs - queue.peek().receivedAtMs() > QUEUE_TIMEOUT_MS) {
-            HttpResponses.sendUnavailable(queue.poll().exchange());
+        while (!queue.isEmpty() && nowMs - queue.peek().receivedAtMs > QUEUE_TIMEOUT_MS) {
+            HttpResponses.sendUnavailable(queue.poll().exchange);
         }
         processNext();
     }
@@ -80,29 +99,69 @@
             HttpResponses.redirectToPrimary(exchange, replica);
             return;
         }
-        queue.add(new WaitingRequest(exchange, scheduler.now(), processor));
+        queue.add(new QueuedRequest(exchange, processor, scheduler.now()));
         processNext();
     }
 
     private void processNext() {
-        if (isProcessing || !isPrimary || queue.isEmpty() || replica.isBusy()) {
+        if (current != null || !isPrimary || queue.isEmpty() || replica.isBusy()) {
             return;
         }
-        isProcessing = true;
-        WaitingRequest request = queue.poll();
-        replica.confirm(
-                isConfirmed -> {
-                    if (isConfirmed) {
-                        request.processor().process(this::finish);
-                    } else {
-                        HttpResponses.sendUnavailable(request.exchange());
-                        finish();
-                    }
-                });
+        QueuedRequest request = queue.poll();
+        current = request;
+        replica.confirm(isConfirmed -> onConfirmed(request, isConfirmed));
     }
 
-    private void finish() {
-        isProcessing = false;
-        processNext();
+    private void onConfirmed(QueuedRequest request, boolean isConfirmed) {
+        if (!isConfirmed) {
+            HttpResponses.sendUnavailable(request.exchange);
+            finish(request);
+            return;
+        }
+        runOrFail(request, () -> process(request));
+    }
+
+    private void process(QueuedRequest request) {
+        Optional<ProposedChange> proposed = request.processor.process();
+        if (proposed.isEmpty()) {
+            finish(request);
+            return;
+        }
+        Runnable onCommitted = proposed.get().onCommitted();
+        replica.submit(
+                proposed.get().change(),
+                isCommitted -> onSubmitted(request, onCommitted, isCommitted));
+    }
+
+    private void onSubmitted(QueuedRequest request, Runnable onCommitted, boolean isCommitted) {
+        if (isCommitted) {
+            runOrFail(request, onCommitted);
+        } else {
+            HttpResponses.sendUnavailable(request.exchange);
+        }
+        finish(request);
+    }
+
+    /** Runs a step of a request; if it throws an exception, the request fails with 500. */
+    private void runOrFail(QueuedRequest request, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            LOG.error(
+                    "failed to process {} {}",
+                    request.exchange.head().method(),
+                    request.exchange.head().target(),
+                    e);
+            HttpResponses.sendEmpty(request.exchange, HttpResponses.INTERNAL_SERVER_ERROR);
+            finish(request);
+        }
+    }
+
+    /** Processes the next request, unless the given one is no longer the current one. */
+    private void finish(QueuedRequest request) {
+        if (current == request) {
+            current = null;
+            processNext();
+        }
     }
 }
