--- a/src/test/java/myrtleladder/controlplane/ControlTraffic.java
+++ b/src/test/java/myrtleladder/controlplane/ControlTraffic.java
@@ -21,9 +21,10 @@
 
 /**
  * Clients of real control processes, each on its own thread: an operator that changes the
- * configuration, a reader, a balancer that polls and requests quota, and upstreams that register
- * and depart. Checks their responses: no acknowledged change is lost, no read is stale, and no two
- * nodes grant the quota of one.
+ * configuration, a reader, a balancer that polls and requests quota, upstreams that register and
+ * depart, and a client that sends texts that cannot be read. Checks their responses: no
+ * acknowledged change is lost, no read is stale, no two nodes grant the quota of one, and what
+ * cannot be read is neither taken nor a failure of the node.
  */
 final class ControlTraffic implements AutoCloseable {
     /** Units per second, and burst, of the only tenant. */
@@ -34,6 +35,13 @@
 
     private static final long CALL_INTERVAL_MS = 30;
     private static final int MAX_VIOLATIONS = 10;
+    private static final int INTERNAL_SERVER_ERROR = 500;
+    private static final List<String> UNREADABLE_TEXTS =
+            List.of(
+                    "{\"generation\":999999999,\"a\":\"\\",
+                    "{\"generation\":999999999,\"a\":\"\\ud800\"}",
+                    "{\"generation\":999999999,\"a\":" + "[".repeat(50_000),
+                    "{\"generation\":1e999}");
     private static final Pattern GENERATION = Pattern.compile("\"generation\":(\\d+)");
 
     private final ControlProcesses processes;
@@ -63,6 +71,7 @@
         start("balancer", this::poll);
         start("quota", this::requestQuota);
         start("upstream", this::registerAndDepart);
+        start("unreadable", this::sendUnreadable);
     }
 
     /** The configuration of a generation: one service and one tenant with a quota. */
@@ -125,6 +134,20 @@
         }
     }
 
+    /** Sends a text that cannot be read to each kind of reader; none may take it. */
+    private void sendUnreadable(int round) throws InterruptedException {
+        String text = UNREADABLE_TEXTS.get(round % UNREADABLE_TEXTS.size());
+        for (String call : List.of("PATCH /config", "PUT /instances/x", "POST /tallies/x")) {
+            String[] methodAndPath = call.split(" ");
+            HttpResponse<String> answer =
+                    processes.call(node(round), methodAndPath[0], methodAndPath[1], "", text);
+            int status = answer == null ? 0 : answer.statusCode();
+            if (status == 200 || status == INTERNAL_SERVER_ERROR) {
+                addViolation(node(round) + " answered " + status + " to " + call);
+            }
+        }
+    }
+
     private void read(int round) throws InterruptedException {
         long atLeast = newestAcknowledgedGeneration.get();
         HttpResponse<String> answer = processes.call(node(round), "GET", "/config", "", "");
--- a/src/test/java/myrtleladder/controlplane/RecordedExchange.java
+++ b/src/test/java/myrtleladder/controlplane/RecordedExchange.java
@@ -12,19 +12,28 @@
     Headers headers;
     String body;
 
-    private RecordedExchange(RequestHead head, String body) {
-        super(head, body.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+    private RecordedExchange(RequestHead head, byte[] body) {
+        super(head, body);
+    }
+
+    private static byte[] withDoubleQuotes(String body) {
+        return body.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** A request without {@code If-Match} whose body is sent as it is. */
+    static RecordedExchange of(String method, String path, byte[] body) {
+        return new RecordedExchange(new RequestHead(method, path, new Headers()), body);
     }
 
     /** A request without {@code If-Match}; single quotes in the body stand for double ones. */
     static RecordedExchange of(String method, String path, String body) {
-        return new RecordedExchange(new RequestHead(method, path, new Headers()), body);
+        return of(method, path, withDoubleQuotes(body));
     }
 
     /** A request with {@code If-Match}. */
     static RecordedExchange matching(String ifMatch, String method, String path, String body) {
         Headers headers = new Headers().add("If-Match", ifMatch);
-        return new RecordedExchange(new RequestHead(method, path, headers), body);
+        return new RecordedExchange(new RequestHead(method, path, headers), withDoubleQuotes(body));
     }
 
     @Override
