Refuse numbers of a configuration that a field cannot hold

A configuration with the generation 1e300 was taken with the highest generation that there is, after which no other could follow: one request stopped all later changes. Numbers beyond the range of their field are invalid now, and whole numbers up to 64 bits keep all their digits.

UnreadableRequestTest with 1e300 and 1e999: 200 on, 400 now.

--- a/src/main/java/myrtleladder/configuration/JsonObject.java
+++ b/src/main/java/myrtleladder/configuration/JsonObject.java
@@ -11,6 +11,9 @@
  * and has no default. A field that is null counts as missing.
  */
 final class JsonObject {
+    /** The smallest magnitude that exceeds the range of a long. */
+    private static final double LONG_RANGE_END = 0x1p63;
+
     private final String path;
     private final Map<?, ?> values;
 
@@ -60,17 +63,25 @@
         return has(name) ? getString(name) : defaultValue;
     }
 
-    /** Returns a number rounded to the nearest integer. */
+    /** Returns a number rounded to the nearest integer; it must not exceed the range of a long. */
     long getLong(String name, long defaultValue) {
-        return Math.round(getDouble(name, defaultValue));
+        if (values.get(name) instanceof Long exact) {
+            return exact;
+        }
+        double value = getDouble(name, defaultValue);
+        if (Math.abs(value) >= LONG_RANGE_END) {
+            throw invalidField(path + "." + name, "a number of at most 64 bits");
+        }
+        return Math.round(value);
     }
 
+    /** Returns a number, which must not exceed the range of a double. */
     double getDouble(String name, double defaultValue) {
         Object value = values.get(name);
         if (value == null) {
             return defaultValue;
         }
-        if (value instanceof Number number) {
+        if (value instanceof Number number && Double.isFinite(number.doubleValue())) {
             return number.doubleValue();
         }
         throw invalidField(path + "." + name, "a number");
--- a/src/test/java/myrtleladder/controlplane/UnreadableRequestTest.java
+++ b/src/test/java/myrtleladder/controlplane/UnreadableRequestTest.java
@@ -35,7 +35,9 @@
                 Arrays.copyOf(patch, backslash + 1),
                 utf8("{\"generation\":5,\"a\":\"\\u09"),
                 utf8("{\"generation\":5,\"a\":\"\\ud800\"}"),
-                utf8("{\"generation\":5,\"a\":" + "[".repeat(100_000)));
+                utf8("{\"generation\":5,\"a\":" + "[".repeat(100_000)),
+                utf8("{\"generation\":1e999}"),
+                utf8("{\"generation\":1e300}"));
     }
 
     private static byte[] utf8(String text) {
