Keep a primary serving with a stored document that it cannot read

A document that cannot be parsed threw an exception out of the change of role, so that a node that became primary did not finish becoming it. Found by reading, while looking for what else a parser's exception reaches. Such a document is logged and distributed as it is until the operator replaces it.

CommittedConfigurationTest covers it; the old code throws the parser's exception there.

--- a/src/main/java/myrtleladder/controlplane/CommittedConfiguration.java
+++ b/src/main/java/myrtleladder/controlplane/CommittedConfiguration.java
@@ -4,7 +4,10 @@
 import myrtleladder.configuration.Compression;
 import myrtleladder.configuration.Configuration;
 import myrtleladder.configuration.ConfigurationDocument;
+import myrtleladder.configuration.ConfigurationException;
 import myrtleladder.protocol.Snapshot;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * The latest configuration and drained zones that this node knows to be committed, that is, stored
@@ -14,6 +17,8 @@
  * DrainRequestHandler} update the state, one request at a time.
  */
 final class CommittedConfiguration {
+    private static final Logger LOG = LogManager.getLogger(CommittedConfiguration.class);
+
     private final Listener listener;
     private final Runnable onUpdated;
     private Snapshot snapshot = new Snapshot();
@@ -49,11 +54,26 @@
     private void update(Snapshot latest, boolean isFirst) {
         snapshot = latest;
         if (!isEmpty()) {
-            listener.configurationCommitted(document().configuration(), isFirst);
+            notifyListener(isFirst);
         }
         onUpdated.run();
     }
 
+    /**
+     * A stored document that this version cannot read is kept and distributed as it is, until the
+     * operator replaces it: the primary has to serve everything else.
+     */
+    private void notifyListener(boolean isFirst) {
+        Configuration configuration;
+        try {
+            configuration = document().configuration();
+        } catch (ConfigurationException e) {
+            LOG.error("cannot read the configuration of generation {}", snapshot.generation, e);
+            return;
+        }
+        listener.configurationCommitted(configuration, isFirst);
+    }
+
     /** Returns whether no configuration has been committed yet. */
     boolean isEmpty() {
         return snapshot.generation == 0;
