Report the result of a write to all callers, also behind one that fails

Callers whose states were written together got their result in one loop. An exception in one of them kept it from all behind it: their saves counted as in flight for ever, and a primary with a stalled save resigns. An Error on a disk's thread ended that thread unseen.

AsyncTallyWriterTest#callbacksBehindOneThatFailsReceiveTheResult fails on (IllegalStateException) and passes now.

--- a/src/main/java/myrtleladder/controlplane/AsyncStateWriter.java
+++ b/src/main/java/myrtleladder/controlplane/AsyncStateWriter.java
@@ -63,7 +63,7 @@
             while (true) {
                 Batch batch = awaitBatch();
                 boolean isSaved = write(batch.state());
-                loop.execute(() -> batch.callbacks().forEach(done -> done.accept(isSaved)));
+                loop.execute(() -> SaveCallbacks.completeAll(batch.callbacks(), isSaved));
             }
         } catch (InterruptedException e) {
             // the interrupt ends the thread
@@ -87,7 +87,7 @@
         try {
             store.save(state);
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // after any failure the state counts as not saved, and the thread must keep running
             LOG.error("cannot save the replica state: {}", e.toString());
             return false;
--- a/src/main/java/myrtleladder/controlplane/AsyncTallyWriter.java
+++ b/src/main/java/myrtleladder/controlplane/AsyncTallyWriter.java
@@ -75,7 +75,7 @@
             while (true) {
                 Batch batch = awaitBatch();
                 boolean isDurable = write(batch);
-                loop.execute(() -> batch.callbacks.forEach(done -> done.accept(isDurable)));
+                loop.execute(() -> SaveCallbacks.completeAll(batch.callbacks, isDurable));
             }
         } catch (InterruptedException e) {
             // the interrupt ends the thread
@@ -101,7 +101,7 @@
                 log.markComplete();
             }
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // after any failure the additions count as not saved, and the thread must keep running
             LOG.error("cannot save {} tally additions: {}", batch.additions.size(), e.toString());
             return false;
--- a/src/test/java/myrtleladder/controlplane/AsyncTallyWriterTest.java
+++ b/src/test/java/myrtleladder/controlplane/AsyncTallyWriterTest.java
@@ -108,6 +108,29 @@
         assertEquals(List.of(1L), loadedSequences());
     }
 
+    /** Guards against a callback that fails and leaves later ones waiting for their result. */
+    @Test
+    void callbacksBehindOneThatFailsReceiveTheResult() throws Exception {
+        AsyncTallyWriter writer = startedWriter();
+        append(writer, 1);
+        disk.startedForces.acquire();
+        writer.append(
+                List.of(),
+                done -> {
+                    throw new IllegalStateException("a bug");
+                });
+        writer.append(
+                List.of(),
+                done -> {
+                    throw new StackOverflowError();
+                });
+        writer.append(List.of(), done -> results.add("behind " + done));
+        disk.forcePermits.release();
+        runNextTask();
+        runNextTask();
+        assertEquals(List.of("1 true", "behind true"), results);
+    }
+
     @Test
     void emptyAppendIsAnsweredInOrder() throws Exception {
         AsyncTallyWriter writer = startedWriter();
