Answer all waiting polls, also behind one whose response fails

An update was sent to the waiting polls in one loop, after they had been taken off the list: an exception at one left all behind it without a response until their balancers timed out.

--- a/src/main/java/myrtleladder/controlplane/PollRequestHandler.java
+++ b/src/main/java/myrtleladder/controlplane/PollRequestHandler.java
@@ -7,6 +7,8 @@
 import myrtleladder.protocol.PollRequest;
 import myrtleladder.replication.Replica;
 import myrtleladder.scheduler.Scheduler;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Handles the long polls with which balancers fetch the configuration, the upstreams, the other
@@ -16,6 +18,8 @@
  * <p>Invariant: polls wait only while this node is primary. Confined to the event loop.
  */
 final class PollRequestHandler {
+    private static final Logger LOG = LogManager.getLogger(PollRequestHandler.class);
+
     /** Minimum wait of a poll without an update. */
     private static final long MIN_WAIT_MS = 150;
 
@@ -116,6 +120,15 @@
 
     private void respondTo(List<LongPoll> duePolls) {
         waitingPolls.removeAll(duePolls);
-        duePolls.forEach(poll -> poll.responder().accept(responses.build(poll.request())));
+        duePolls.forEach(this::respondTo);
+    }
+
+    /** Responds to a poll; if that fails, the others are answered all the same. */
+    private void respondTo(LongPoll poll) {
+        try {
+            poll.responder().accept(responses.build(poll.request()));
+        } catch (RuntimeException | Error e) {
+            LOG.error("failed to respond to the poll of {}", poll.request().balancer, e);
+        }
     }
 }
--- a/src/test/java/myrtleladder/controlplane/ControlPlaneTest.java
+++ b/src/test/java/myrtleladder/controlplane/ControlPlaneTest.java
@@ -58,6 +58,28 @@
         assertEquals(1, responses.size());
     }
 
+    /** Guards against a response that fails and leaves the polls behind it waiting. */
+    @Test
+    void waitingPollsAreAnsweredBehindOneWhoseResponseFails() {
+        node.change("PUT", "0", "{'generation':3}");
+        node.clock.run(4_000);
+        PollResponse first = firstPoll();
+        PollRequestBuilder upToDate =
+                new PollRequestBuilder()
+                        .generation(3)
+                        .epoch(first.epoch)
+                        .instanceRevision(first.instanceRevision)
+                        .authoritativeList();
+        node.plane.receive(
+                upToDate.build(),
+                response -> {
+                    throw new IllegalStateException("a bug");
+                });
+        List<Message> responses = node.receive(upToDate.build());
+        assertEquals(200, node.heartbeat("i", "ready", 1).status);
+        assertEquals(1, responses.size());
+    }
+
     @Test
     void waitingPollIsAnsweredAtOnceWhenAKnownUpstreamBecomesCold() {
         node.heartbeat("i", "ready", 1);
