Let a balancer poll again after a response that it cannot apply

The next poll was sent at the end of applying a response, so a document that a balancer could not read ended its polling for good: no configuration, no upstreams, no quotas until a restart, and nothing in the log. Such a response is logged now, all of it but the document is applied, and the poll is repeated every half second.

ControlPollerTest#pollingGoesOnAfterADocumentThatCannotBeRead fails on (ArrayIndexOutOfBounds) and passes now.

--- a/src/main/java/myrtleladder/dataplane/ControlPoller.java
+++ b/src/main/java/myrtleladder/dataplane/ControlPoller.java
@@ -44,6 +44,12 @@
     /** Backoff before the next poll after a failed one. */
     private static final long RETRY_BACKOFF_MS = 50;
 
+    /**
+     * Backoff before the next poll after a response that could not be applied, since the control
+     * plane sends it again at once.
+     */
+    private static final long FAILED_RESPONSE_BACKOFF_MS = 500;
+
     /** Time for which an unresponsive control node is not polled if there are others. */
     private static final long AVOID_UNRESPONSIVE_MS = 1_500;
 
@@ -187,7 +193,17 @@
                 targetAddress,
                 request,
                 POLL_TIMEOUT_MS,
-                response -> pollResponseReceived(request.loadReport, response));
+                response -> pollCompleted(request.loadReport, response));
+    }
+
+    /** Handles the outcome of a poll; if that fails, polls again after the backoff. */
+    private void pollCompleted(LoadReport report, Message message) {
+        try {
+            pollResponseReceived(report, message);
+        } catch (RuntimeException | Error e) {
+            LOG.error("failed to handle the response of {}", targetAddress, e);
+            scheduler.schedule(FAILED_RESPONSE_BACKOFF_MS, this::poll);
+        }
     }
 
     private PollRequest createRequest() {
@@ -324,9 +340,6 @@
                 .directory()
                 .applyRecords(
                         response.instances, response.fullInstanceList && response.authoritative);
-        if (response.generation > generation && response.document.length > 0) {
-            applyConfiguration(response);
-        }
         balancerCount = response.balancerCount;
         balancerListRevision = response.balancerListRevision;
         if (!response.balancerList.isEmpty()) {
@@ -336,6 +349,10 @@
             dataPlane.setBalancerList(response.balancerList);
         }
         dataPlane.setBalancerCount(response.balancerCount);
+        // Last, so that everything else is applied if this balancer cannot read the document.
+        if (response.generation > generation && response.document.length > 0) {
+            applyConfiguration(response);
+        }
     }
 
     private void applyConfiguration(PollResponse response) {
--- a/src/test/java/myrtleladder/dataplane/ControlPollerTest.java
+++ b/src/test/java/myrtleladder/dataplane/ControlPollerTest.java
@@ -81,6 +81,27 @@
         assertEquals(7, polls.get(polls.size() - 1).generation);
     }
 
+    /** Guards against a response that cannot be applied and after which no poll follows. */
+    @Test
+    void pollingGoesOnAfterADocumentThatCannotBeRead() {
+        pendingCallback.accept(response(3, 7));
+        PollResponse unreadable = response(3, 9);
+        unreadable.document =
+                Compression.deflate(
+                        "{\"generation\":9,\"a\":\"\\".getBytes(StandardCharsets.UTF_8));
+        unreadable.balancerCount = 5;
+        int pollsBefore = polls.size();
+        pendingCallback.accept(unreadable);
+        clock.run(1_000);
+        assertEquals(pollsBefore + 1, polls.size());
+        PollRequest next = polls.get(polls.size() - 1);
+        assertEquals(7, next.generation);
+        assertEquals(5, next.balancerCount);
+        assertEquals(7, dataPlane.configuration().generation());
+        pendingCallback.accept(response(3, 11));
+        assertEquals(11, dataPlane.configuration().generation());
+    }
+
     @Test
     void lowerEpochsAndOlderGenerationsAreIgnored() {
         pendingCallback.accept(response(3, 7));
