Give a call that cannot be started its result

A call whose connection could not be set up or written to by reason of an exception never completed: its timeout then failed at the missing connection, and flags such as "a pull is in flight" stayed set.

--- a/src/main/java/myrtleladder/rpc/PeerClient.java
+++ b/src/main/java/myrtleladder/rpc/PeerClient.java
@@ -16,6 +16,8 @@
 import myrtleladder.replication.PeerTransport;
 import myrtleladder.result.ResultException;
 import myrtleladder.scheduler.Scheduler;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Sends messages to other processes of the fleet over pooled connections, one call in flight on
@@ -25,6 +27,8 @@
  * <p>Threading: confined to the event loop.
  */
 public final class PeerClient implements PeerTransport {
+    private static final Logger LOG = LogManager.getLogger(PeerClient.class);
+
     /** Request target of all messages. */
     private static final String PATH = "/message";
 
@@ -61,13 +65,18 @@
         while (call != null && !call.connection.ready()) {
             call = free.pollLast();
         }
-        if (call == null) {
-            call = new Call(address);
-            call.start(bytes, timeoutMs, answer);
-            call.connect();
-        } else {
-            call.start(bytes, timeoutMs, answer);
-            call.send();
+        boolean isConnected = call != null;
+        Call started = isConnected ? call : new Call(address);
+        started.start(bytes, timeoutMs, answer);
+        try {
+            if (isConnected) {
+                started.send();
+            } else {
+                started.connect();
+            }
+        } catch (RuntimeException e) {
+            LOG.error("failed to call {}", address, e);
+            loop.execute(started::fail);
         }
     }
 
@@ -102,7 +111,13 @@
         }
 
         private void onTimeout() {
-            connection.close();
+            fail();
+        }
+
+        private void fail() {
+            if (connection != null) {
+                connection.close();
+            }
             finish(null);
         }
 
--- a/src/test/java/myrtleladder/rpc/PeerClientTest.java
+++ b/src/test/java/myrtleladder/rpc/PeerClientTest.java
@@ -11,6 +11,7 @@
 import myrtleladder.protocol.Message;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -45,4 +46,27 @@
                                         m -> answer.complete(Optional.ofNullable(m))));
         assertEquals(Optional.empty(), answer.get(TIMEOUT_MS / 2, TimeUnit.MILLISECONDS));
     }
+
+    /**
+     * Guards against a call that can't be started and whose caller waits for its result forever.
+     */
+    @Test
+    void callThatCannotBeStartedFailsAtOnce() throws Exception {
+        PeerClient client =
+                new PeerClient(
+                        loop,
+                        address -> {
+                            throw new IllegalStateException("a bug");
+                        });
+        CompletableFuture<Optional<Message>> answer = new CompletableFuture<>();
+        Message request = JoinRequest.of(Member.of("a:1", "a:2", "s"));
+        loop.execute(
+                () ->
+                        client.call(
+                                "127.0.0.1:1",
+                                request,
+                                TIMEOUT_MS,
+                                m -> answer.complete(Optional.ofNullable(m))));
+        assertEquals(Optional.empty(), answer.get(TIMEOUT_MS / 2, TimeUnit.MILLISECONDS));
+    }
 }
