Do not take the rejection of another request for the answer

An upstream may send one answer too many.

onResponseHead asked for a rejection before it compared the answer's id. An answer with another id is now compared first and says nothing about the request: 502, or a retry where failures are retried. Rejections without an id stay rejections, as an upstream that sheds may send none.

--- a/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
+++ b/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
@@ -244,12 +244,12 @@
         attempt.upstream()
                 .updateReportedLoad(
                         head.headers().get(HeaderNames.UPSTREAM_LOAD), dataPlane.nowMs());
-        if (isRejection(head)) {
+        if (namesAnotherRequest(head)) {
+            foreignResponseReceived(attempt);
+        } else if (isRejection(head)) {
             attemptRejected(attempt, head);
         } else if (!isResponseToThisRequest(head)) {
-            count(Event.FOREIGN_RESPONSE);
-            attempt.cancel();
-            attemptFailed(attempt);
+            foreignResponseReceived(attempt);
         } else if (state != State.STREAMING_RESPONSE) {
             response.acceptHead(head);
         } else if (head.status() >= 300) {
@@ -258,6 +258,25 @@
         }
     }
 
+    /**
+     * Handles a response to another request. It says nothing about this one, which the upstream may
+     * execute all the same.
+     */
+    private void foreignResponseReceived(Attempt attempt) {
+        count(Event.FOREIGN_RESPONSE);
+        attempt.cancel();
+        attemptFailed(attempt);
+    }
+
+    /**
+     * Returns whether a response has the id of another request. A rejection may have no id: an
+     * upstream may send it before it has read the request.
+     */
+    private boolean namesAnotherRequest(ResponseHead head) {
+        String id = head.headers().get(HeaderNames.ATTEMPT_ID);
+        return id != null && !id.equals(attemptId);
+    }
+
     private static boolean isRejection(ResponseHead head) {
         return head.status() == MISDIRECTED_REQUEST
                 || head.headers().get(HeaderNames.NOT_EXECUTED) != null;
@@ -265,7 +284,7 @@
 
     /** Checks for the id of the client's attempt and, in successful responses, for a signature. */
     private boolean isResponseToThisRequest(ResponseHead head) {
-        if (attemptId != null && !attemptId.equals(head.headers().get(HeaderNames.ATTEMPT_ID))) {
+        if (attemptId != null && head.headers().get(HeaderNames.ATTEMPT_ID) == null) {
             return false;
         }
         return head.status() >= 300 || head.headers().get(HeaderNames.UPSTREAM_SIGNATURE) != null;
--- a/src/test/java/myrtleladder/dataplane/ProxiedRequestOutcomeTest.java
+++ b/src/test/java/myrtleladder/dataplane/ProxiedRequestOutcomeTest.java
@@ -40,6 +40,10 @@
         FAIL_500,
         FAIL_503,
         RESPOND_TO_ANOTHER_REQUEST,
+        /** A late second copy of the rejection of an earlier request on the connection. */
+        REJECT_ANOTHER_REQUEST_503,
+        /** The same with a status that says that the upstream is another one. */
+        REJECT_ANOTHER_REQUEST_421,
         LOSE_CONNECTION,
         LOSE_CONNECTION_WITHIN_EVENT,
         SEND_NOTHING,
@@ -82,6 +86,8 @@
             case FAIL_503 -> respond(sent, 503);
             case RESPOND_TO_ANOTHER_REQUEST ->
                     sent.respondHead(200, HeaderNames.ATTEMPT_ID, "another");
+            case REJECT_ANOTHER_REQUEST_503 -> rejectAnotherRequest(sent, 503);
+            case REJECT_ANOTHER_REQUEST_421 -> rejectAnotherRequest(sent, 421);
             case LOSE_CONNECTION -> sent.loseConnection();
             case LOSE_CONNECTION_WITHIN_EVENT -> {
                 sent.respondHead(200);
@@ -95,6 +101,10 @@
         }
     }
 
+    private static void rejectAnotherRequest(SentRequest sent, int status) {
+        sent.respondHead(status, HeaderNames.ATTEMPT_ID, "another", HeaderNames.NOT_EXECUTED, "1");
+    }
+
     private static void respond(SentRequest sent, int status, String... fields) {
         sent.respondHead(status, fields);
         sent.sendBytes("why");
@@ -118,6 +128,8 @@
         "/s/1, NOTHING, FAIL_500, 500",
         "/s/1, NOTHING, FAIL_503, 503",
         "/s/1, NOTHING, RESPOND_TO_ANOTHER_REQUEST, 502",
+        "/s/1, NOTHING, REJECT_ANOTHER_REQUEST_503, 502",
+        "/s/1, NOTHING, REJECT_ANOTHER_REQUEST_421, 502",
         "/s/1, NOTHING, LOSE_CONNECTION, 502",
         "/s/1, NOTHING, LOSE_CONNECTION_WITHIN_EVENT, 502",
         "/s/1, NOTHING, SEND_NOTHING, 504",
@@ -146,6 +158,8 @@
         "/s/1, EVENTS, FAIL_500, aborted",
         "/s/1, EVENTS, FAIL_503, aborted",
         "/s/1, EVENTS, RESPOND_TO_ANOTHER_REQUEST, aborted",
+        "/s/1, EVENTS, REJECT_ANOTHER_REQUEST_503, aborted",
+        "/s/1, EVENTS, REJECT_ANOTHER_REQUEST_421, aborted",
         "/s/1, EVENTS, LOSE_CONNECTION, aborted",
         "/s/1, EVENTS, LOSE_CONNECTION_WITHIN_EVENT, aborted",
         "/s/1, EVENTS, SEND_NOTHING, aborted",
@@ -160,6 +174,8 @@
         "/u/1, NOTHING, FAIL_500, 500",
         "/u/1, NOTHING, LOSE_CONNECTION, 502",
         "/u/1, NOTHING, RESPOND_TO_ANOTHER_REQUEST, 502",
+        "/u/1, NOTHING, REJECT_ANOTHER_REQUEST_503, 502",
+        "/u/1, NOTHING, REJECT_ANOTHER_REQUEST_421, 502",
         "/u/1, NOTHING, SEND_NOTHING, 504",
         "/u/1, NOTHING, REFUSE_CONNECTION, 503",
         "/u/1, NOTHING, CLIENT_DISCONNECTS, none",
--- a/src/test/java/myrtleladder/dataplane/ProxiedRequestTest.java
+++ b/src/test/java/myrtleladder/dataplane/ProxiedRequestTest.java
@@ -213,6 +213,29 @@
         assertEquals("", client.body.toString());
     }
 
+    /**
+     * Guards against a late second copy of another request's rejection that is taken for the answer
+     * of the one that waits: it promises that this one has not run, and a 421 removes the upstream.
+     */
+    @Test
+    void rejectionOfAnotherRequestPromisesNothingAndKeepsTheUpstream() {
+        for (String status : new String[] {"503", "421"}) {
+            ScriptedClient client = context.send("/u/1");
+            SentRequest sent = connections.lastSent();
+            int sentBefore = connections.sent.size();
+            sent.respondHead(
+                    Integer.parseInt(status),
+                    HeaderNames.ATTEMPT_ID,
+                    "someone-else",
+                    HeaderNames.NOT_EXECUTED,
+                    "1");
+            assertTrue(sent.closed);
+            assertEquals(502, client.status);
+            assertEquals(sentBefore, connections.sent.size(), "no second attempt");
+            assertTrue(dataPlane.directory().available("p").contains(sent.upstream), status);
+        }
+    }
+
     @Test
     void successWithoutSignatureIsNotForwarded() {
         ScriptedClient client = context.send("/u/1");
