Abort a request whose timeout check fails, and check the others

All active requests were checked in one loop; an exception at one left the rest of the round unchecked, and that request itself, which no longer counted as active, without any end for its client.

ProxiedRequestTest#requestThatFailsAtItsDeadlineIsAbortedAndTheOthersEnd fails on (IllegalStateException) and passes now.

--- a/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
+++ b/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
@@ -497,15 +497,24 @@
     }
 
     private void clientDisconnected() {
-        if (state == State.COMPLETED) {
-            return;
+        if (state != State.COMPLETED) {
+            cancel();
         }
+    }
+
+    /** Ends the request after an unexpected failure by closing the client's connection. */
+    void abort() {
+        cancel();
+        response.abortStream();
+    }
+
+    private void cancel() {
         Attempt lastAttempt = currentAttempt;
         currentAttempt = null;
+        transitionTo(State.COMPLETED);
         if (lastAttempt != null) {
             lastAttempt.cancel();
         }
-        transitionTo(State.COMPLETED);
     }
 
     private void count(Event event) {
--- a/src/test/java/myrtleladder/dataplane/ProxiedRequestTest.java
+++ b/src/test/java/myrtleladder/dataplane/ProxiedRequestTest.java
@@ -213,6 +213,18 @@
         assertEquals("", client.body.toString());
     }
 
+    /** Guards against a request that fails at its deadline and never ends for its client. */
+    @Test
+    void requestThatFailsAtItsDeadlineIsAbortedAndTheOthersEnd() {
+        ScriptedClient failing = context.send("/u/1");
+        ScriptedClient next = context.send("/u/1");
+        failing.failsToRespond = true;
+        clock.run(9_000);
+        assertTrue(failing.aborted);
+        assertEquals(504, next.status);
+        assertEquals(0, dataPlane.activeRequests().size());
+    }
+
     /**
      * Guards against a late second copy of another request's rejection that is taken for the answer
      * of the one that waits: it promises that this one has not run, and a 421 removes the upstream.
--- a/src/test/java/myrtleladder/dataplane/ScriptedClient.java
+++ b/src/test/java/myrtleladder/dataplane/ScriptedClient.java
@@ -17,6 +17,9 @@
     boolean aborted;
     int responses;
 
+    /** Whether the exchange throws an exception where it should respond. */
+    boolean failsToRespond;
+
     /** Number of responses that ended, including by an abort; more than one is an error. */
     int finalResponses;
 
@@ -56,6 +59,9 @@
 
     @Override
     public void respond(int statusCode, Headers responseHeaders, byte[] bytes) {
+        if (failsToRespond) {
+            throw new IllegalStateException("a bug");
+        }
         if (responses > 0 || aborted) {
             ignoredCalls++;
             return;
