Answer 500 where a request's handler fails, and log it

The server of both programs now logs it with its stack and answers 500, or aborts a response that has begun. The event loop logs an Error of a task or timer as it does an exception; before, it ended the round unlogged.

--- a/src/main/java/myrtleladder/eventloop/EventLoop.java
+++ b/src/main/java/myrtleladder/eventloop/EventLoop.java
@@ -24,8 +24,8 @@
  * selections, so that they need no thread and no wake-up of their own.
  *
  * <p>Threading: {@link #execute} and {@link #stop} may be called on any thread; {@link #schedule}
- * and all that the loop calls back run on the loop. An unchecked exception of a task or timer is
- * logged and does not end the loop.
+ * and all that the loop calls back run on the loop. An unchecked exception or an error of a task or
+ * timer is logged and does not end the loop.
  */
 public final class EventLoop implements Scheduler {
     private static final Logger LOG = LogManager.getLogger(EventLoop.class);
@@ -149,7 +149,7 @@
     private void runSafely(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.error("task failed", e);
         }
     }
--- a/src/main/java/myrtleladder/http/HttpExchange.java
+++ b/src/main/java/myrtleladder/http/HttpExchange.java
@@ -16,6 +16,8 @@
 final class HttpExchange implements ServerExchange {
     static final byte[] NO_BYTES = {};
 
+    private static final int INTERNAL_SERVER_ERROR = 500;
+
     private enum State {
         UNANSWERED,
         STREAMING,
@@ -140,6 +142,15 @@
         }
     }
 
+    /** Answers 500, or aborts a response that has begun. */
+    void fail() {
+        if (state == State.UNANSWERED) {
+            respond(INTERNAL_SERVER_ERROR, new Headers(), NO_BYTES);
+        } else {
+            abort();
+        }
+    }
+
     @Override
     public boolean open() {
         return owner.connection().isOpen();
--- a/src/main/java/myrtleladder/http/HttpServer.java
+++ b/src/main/java/myrtleladder/http/HttpServer.java
@@ -22,7 +22,8 @@
 
 /**
  * An HTTP/1.1 server (RFC 9112) at one address. Passes each complete request to the handler as a
- * {@link ServerExchange}; answers malformed ones with 400 and those with too large a body with 413.
+ * {@link ServerExchange}; answers malformed ones with 400, those with too large a body with 413, and
+ * those whose handler throws an exception with 500.
  *
  * <p>Grizzly's own server is not used because it stops reading while a response is due, so that a
  * client that disconnects is not noticed.
--- a/src/main/java/myrtleladder/http/ServerConnection.java
+++ b/src/main/java/myrtleladder/http/ServerConnection.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Arrays;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpContent;
@@ -14,6 +16,8 @@
  * <p>Threading: confined to the event loop.
  */
 final class ServerConnection {
+    private static final Logger LOG = LogManager.getLogger(ServerConnection.class);
+
     /** Pipelined requests behind the current one; with more the connection is closed. */
     private static final int MAX_PIPELINED = 16;
 
@@ -101,7 +105,18 @@
             exchange.respond(413, new Headers(), HttpExchange.NO_BYTES);
             return;
         }
-        server.handle(exchange);
+        handle(exchange);
+    }
+
+    /** Calls the handler; if it throws an exception, the client is answered all the same. */
+    private void handle(HttpExchange exchange) {
+        try {
+            server.handle(exchange);
+        } catch (RuntimeException | Error e) {
+            LOG.error(
+                    "failed to handle {} {}", exchange.head().method(), exchange.head().path(), e);
+            exchange.fail();
+        }
     }
 
     void answered(HttpExchange exchange, boolean keep) {
--- a/src/test/java/myrtleladder/http/HttpTest.java
+++ b/src/test/java/myrtleladder/http/HttpTest.java
@@ -87,6 +87,56 @@
         }
     }
 
+    /** Guards against a handler's exception that closes the connection without an answer. */
+    @Test
+    void aRequestWhoseHandlerFailsIsAnsweredWith500AndTheNextOneIsServed() throws Exception {
+        serve(
+                e -> {
+                    if (e.head().target().equals("/exception")) {
+                        throw new IllegalStateException("a bug");
+                    }
+                    if (e.head().target().equals("/error")) {
+                        throw new StackOverflowError();
+                    }
+                    e.respond(200, new Headers(), NONE);
+                });
+        try (Socket socket = client()) {
+            for (String target : new String[] {"/exception", "/error"}) {
+                send(socket, "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+                String failed = readUntil(socket, "\r\n\r\n");
+                assertTrue(failed.startsWith("HTTP/1.1 500 "), failed);
+                send(socket, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+                String next = readUntil(socket, "\r\n\r\n");
+                assertTrue(next.startsWith("HTTP/1.1 200 "), next);
+            }
+        }
+    }
+
+    /** Guards against an error, such as a stack overflow, that ends or delays the event loop. */
+    @Test
+    void tasksAndTimersBehindOneThatFailsStillRun() throws Exception {
+        for (Throwable failure : new Throwable[] {new IllegalStateException(), new Error()}) {
+            CompletableFuture<Void> task = new CompletableFuture<>();
+            CompletableFuture<Void> timer = new CompletableFuture<>();
+            loop.execute(
+                    () -> {
+                        loop.schedule(0, () -> rethrow(failure));
+                        loop.schedule(0, () -> timer.complete(null));
+                        loop.execute(() -> rethrow(failure));
+                        loop.execute(() -> task.complete(null));
+                    });
+            task.get(5, TimeUnit.SECONDS);
+            timer.get(5, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void rethrow(Throwable failure) {
+        if (failure instanceof Error error) {
+            throw error;
+        }
+        throw (RuntimeException) failure;
+    }
+
     @Test
     void aRequestWithUpgradeIsAnsweredAsHttp11AndItsConnectionCloses() throws Exception {
         serve(e -> e.respond(200, new Headers().add("X-Target", e.head().target()), e.body()));
