End a response that has many header fields

Responses may have 128 fields now, more than the 100 that are read from an upstream; a head that is refused all the same closes the connection.

--- a/src/main/java/myrtleladder/http/HttpExchange.java
+++ b/src/main/java/myrtleladder/http/HttpExchange.java
@@ -1,5 +1,7 @@
 package myrtleladder.http;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -14,6 +16,8 @@
 
 /** A complete request and its response on a connection of Grizzly. Confined to the event loop. */
 final class HttpExchange implements ServerExchange {
+    private static final Logger LOG = LogManager.getLogger(HttpExchange.class);
+
     static final byte[] NO_BYTES = {};
 
     private static final int INTERNAL_SERVER_ERROR = 500;
@@ -89,9 +93,12 @@
         }
         boolean keep = canKeepAlive() && headers.get("Connection") == null;
         headers.remove("Connection");
-        HttpResponsePacket.Builder builder =
-                builder(status, headers, keep).contentLength(answer.length);
-        response = builder.build();
+        response = build(status, headers, keep);
+        if (response == null) {
+            abort();
+            return;
+        }
+        response.setContentLength(answer.length);
         transitionTo(State.ENDED);
         write(
                 HttpContent.builder(response)
@@ -107,7 +114,12 @@
         if (state != State.UNANSWERED) {
             return;
         }
-        response = builder(status, headers, canKeepAlive()).chunked(true).build();
+        response = build(status, headers, canKeepAlive());
+        if (response == null) {
+            abort();
+            return;
+        }
+        response.setChunked(true);
         transitionTo(State.STREAMING);
     }
 
@@ -185,23 +197,34 @@
         return keepAlive && !owner.server().isClosing();
     }
 
-    private HttpResponsePacket.Builder builder(int status, Headers headers, boolean keep) {
-        HttpResponsePacket.Builder builder = HttpResponsePacket.builder(request);
-        builder.status(status).reasonPhrase(HttpStatus.getHttpStatus(status).getReasonPhrase());
-        headers.forEach(
-                (name, value) -> {
-                    if (name.equalsIgnoreCase("Content-Type")) {
-                        builder.contentType(value);
-                    } else {
-                        builder.header(name, value);
-                    }
-                });
+    /** Builds a head; null if the library refuses it, as with too many fields. */
+    private HttpResponsePacket build(int status, Headers headers, boolean keep) {
+        HttpResponsePacket built =
+                HttpResponsePacket.builder(request)
+                        .status(status)
+                        .reasonPhrase(HttpStatus.getHttpStatus(status).getReasonPhrase())
+                        .build();
+        built.getHeaders().setMaxNumHeaders(HttpServer.MAX_RESPONSE_HEADERS);
+        try {
+            headers.forEach((name, value) -> addField(built, name, value));
+        } catch (RuntimeException e) {
+            LOG.error("failed to build the head of a response", e);
+            return null;
+        }
         if (!keep) {
-            builder.header("Connection", "close");
+            built.setHeader("Connection", "close");
         } else if (owner.server().keepAlive() != null) {
-            builder.header("Keep-Alive", owner.server().keepAlive());
+            built.setHeader("Keep-Alive", owner.server().keepAlive());
+        }
+        return built;
+    }
+
+    private static void addField(HttpResponsePacket packet, String name, String value) {
+        if (name.equalsIgnoreCase("Content-Type")) {
+            packet.setContentType(value);
+        } else {
+            packet.addHeader(name, value);
         }
-        return builder;
     }
 
     private static Buffer wrap(byte[] bytes, int offset, int length) {
--- a/src/main/java/myrtleladder/http/HttpServer.java
+++ b/src/main/java/myrtleladder/http/HttpServer.java
@@ -22,8 +22,8 @@
 
 /**
  * An HTTP/1.1 server (RFC 9112) at one address. Passes each complete request to the handler as a
- * {@link ServerExchange}; answers malformed ones with 400, those with too large a body with 413, and
- * those whose handler throws an exception with 500.
+ * {@link ServerExchange}; answers malformed ones with 400, those with too large a body with 413,
+ * and those whose handler throws an exception with 500.
  *
  * <p>Grizzly's own server is not used because it stops reading while a response is due, so that a
  * client that disconnects is not noticed.
@@ -34,8 +34,11 @@
     /** Longest request head. */
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
 
-    /** Most header fields of a request or response. */
-    private static final int MAX_HEADERS = 100;
+    /** Most header fields of a request. */
+    private static final int MAX_REQUEST_HEADERS = 100;
+
+    /** Most header fields of a response; a forwarded one has some more than the upstream's. */
+    static final int MAX_RESPONSE_HEADERS = 128;
 
     /** Longest request body until {@link #limitBody} is called. */
     private static final long DEFAULT_MAX_BODY_BYTES = 8L * 1_024 * 1_024;
@@ -64,7 +67,13 @@
         unlimited.setMaxRequestsCount(-1);
         HttpServerFilter codec =
                 new HttpServerFilter(
-                        true, MAX_HEADER_BYTES, null, unlimited, null, MAX_HEADERS, MAX_HEADERS);
+                        true,
+                        MAX_HEADER_BYTES,
+                        null,
+                        unlimited,
+                        null,
+                        MAX_REQUEST_HEADERS,
+                        MAX_RESPONSE_HEADERS);
         codec.setAllowPayloadForUndefinedHttpMethods(true);
         loop.bind(
                 host,
--- a/src/test/java/myrtleladder/http/HttpTest.java
+++ b/src/test/java/myrtleladder/http/HttpTest.java
@@ -1,5 +1,6 @@
 package myrtleladder.http;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -112,6 +113,31 @@
         }
     }
 
+    /** Guards against a response with many header fields that leaves the client without an end. */
+    @Test
+    void aResponseArrivesWholeOrItsConnectionClosesHoweverManyFieldsItHas() throws Exception {
+        serve(
+                e -> {
+                    Headers headers = new Headers();
+                    int count = Integer.parseInt(e.head().target().substring(1));
+                    for (int i = 0; i < count; i++) {
+                        headers.add("X-" + i, "v");
+                    }
+                    // later, as the response of an upstream arrives
+                    loop.execute(() -> e.respond(200, headers, "whole".getBytes(US_ASCII)));
+                });
+        for (int count : new int[] {90, 97, 98, 99, 100}) {
+            try (Socket socket = client()) {
+                send(socket, "GET /" + count + " HTTP/1.1\r\nHost: h\r\n\r\n");
+                assertTrue(readUntil(socket, "whole").endsWith("\r\nwhole"), count + " fields");
+            }
+        }
+        try (Socket socket = client()) {
+            send(socket, "GET /500 HTTP/1.1\r\nHost: h\r\n\r\n");
+            assertEquals("<end>", readUntil(socket, null));
+        }
+    }
+
     /** Guards against an error, such as a stack overflow, that ends or delays the event loop. */
     @Test
     void tasksAndTimersBehindOneThatFailsStillRun() throws Exception {
