Find a name conflict also where the first probe is not answered

A process forgot a rival at every tenth protocol period, even one that it had begun to probe a moment ago. If the rival had found the conflict by then, it spread no newer update, so nothing made this process probe it again: the conflict stayed unknown for good.

--- a/src/main/java/myrtleladder/gossip/Membership.java
+++ b/src/main/java/myrtleladder/gossip/Membership.java
@@ -264,7 +264,7 @@
             if (periodNumber % RECONNECT_PERIODS == 0) {
                 reconnector.probeOne();
             }
-            nameConflicts.onPeriod(nowUs, periodNumber);
+            nameConflicts.onPeriod(nowUs);
         }
         if (!queue.isEmpty()) {
             gossipTo(settings.gossipFanout());
--- a/src/test/java/myrtleladder/gossip/MembershipTest.java
+++ b/src/test/java/myrtleladder/gossip/MembershipTest.java
@@ -283,6 +283,30 @@
         }
     }
 
+    /**
+     * Guards against a process that forgets a rival before its probe is answered, and that is not
+     * told of it again, since the rival has found the conflict and goes on probing.
+     */
+    @Test
+    void bothProcessesFindANameConflictAlsoIfProbesAreLost() {
+        for (long seed = 1; seed <= 200; seed++) {
+            SimulatedGossipCluster fleet = fleet(seed, LOSSY, 5);
+            fleet.run((5 * SECOND_US) + seed * SECOND_US / 20);
+            fleet.add("intruder", "m3");
+            fleet.run(30 * SECOND_US);
+            for (String process : List.of("m3", "intruder")) {
+                assertTrue(
+                        fleet.events.stream()
+                                .anyMatch(
+                                        s ->
+                                                s.observer().equals(process)
+                                                        && s.event().kind()
+                                                                == MemberEvent.Kind.RIVAL),
+                        process + " with seed " + seed);
+            }
+        }
+    }
+
     /** 200 members join by seeds of which one is down. */
     @Test
     void twoHundredMembersThatJoinAtOnceFindEachOther() {
