--- a/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
+++ b/src/main/java/myrtleladder/dataplane/ProxiedRequest.java
@@ -32,9 +32,6 @@
     /** Maximum number of attempts that could not be sent; then the request ends. */
     private static final int MAX_UNSENT_ATTEMPTS = 4;
 
-    /** Misdirected Request: the upstream is not the expected instance (RFC 9110, 15.5.20). */
-    private static final int MISDIRECTED_REQUEST = 421;
-
     private static final int BAD_REQUEST = 400;
     private static final int BAD_GATEWAY = 502;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -244,50 +241,27 @@
         attempt.upstream()
                 .updateReportedLoad(
                         head.headers().get(HeaderNames.UPSTREAM_LOAD), dataPlane.nowMs());
-        if (namesAnotherRequest(head)) {
-            foreignResponseReceived(attempt);
-        } else if (isRejection(head)) {
-            attemptRejected(attempt, head);
-        } else if (!isResponseToThisRequest(head)) {
-            foreignResponseReceived(attempt);
-        } else if (state != State.STREAMING_RESPONSE) {
-            response.acceptHead(head);
-        } else if (head.status() >= 300) {
-            attempt.cancel();
-            attemptFailed(attempt);
+        switch (UpstreamResponseKind.of(head, attemptId)) {
+            case FOREIGN -> foreignResponseReceived(attempt);
+            case NOT_EXECUTED -> attemptRejected(attempt, head);
+            case EXECUTED -> headReceived(attempt, head);
+            default -> throw new IllegalStateException("unknown kind of response");
         }
     }
 
-    /**
-     * Handles a response to another request. It says nothing about this one, which the upstream may
-     * execute all the same.
-     */
     private void foreignResponseReceived(Attempt attempt) {
         count(Event.FOREIGN_RESPONSE);
         attempt.cancel();
         attemptFailed(attempt);
     }
 
-    /**
-     * Returns whether a response has the id of another request. A rejection may have no id: an
-     * upstream may send it before it has read the request.
-     */
-    private boolean namesAnotherRequest(ResponseHead head) {
-        String id = head.headers().get(HeaderNames.ATTEMPT_ID);
-        return id != null && !id.equals(attemptId);
-    }
-
-    private static boolean isRejection(ResponseHead head) {
-        return head.status() == MISDIRECTED_REQUEST
-                || head.headers().get(HeaderNames.NOT_EXECUTED) != null;
-    }
-
-    /** Checks for the id of the client's attempt and, in successful responses, for a signature. */
-    private boolean isResponseToThisRequest(ResponseHead head) {
-        if (attemptId != null && head.headers().get(HeaderNames.ATTEMPT_ID) == null) {
-            return false;
+    private void headReceived(Attempt attempt, ResponseHead head) {
+        if (state != State.STREAMING_RESPONSE) {
+            response.acceptHead(head);
+        } else if (head.status() >= 300) {
+            attempt.cancel();
+            attemptFailed(attempt);
         }
-        return head.status() >= 300 || head.headers().get(HeaderNames.UPSTREAM_SIGNATURE) != null;
     }
 
     /**
@@ -303,7 +277,8 @@
         }
         currentAttempt = null;
         attempt.cancel();
-        if (head.status() == MISDIRECTED_REQUEST && !canResumeWithSameWeights(attempt.upstream())) {
+        boolean isMisdirected = head.status() == UpstreamResponseKind.MISDIRECTED_REQUEST;
+        if (isMisdirected && !canResumeWithSameWeights(attempt.upstream())) {
             dataPlane.directory().removeGone(attempt.upstream());
         }
         if (dataPlane.retryPolicy().shouldRetryRejection(route, service, sentAttemptCount())) {
