Bound the wait of the deliberately wrong balancer by the request's time

BalancerFleetTest#aBalancerThatBreaksARuleIsFoundOut was red in the review: for COLD_OVERRUN it found LOST beside it, answers over half a second late. The stand-in bounds each send by a timeout of the JDK's client. A trace shows that this bound is none: the client repeats a GET whose connection was reset, and its timeout begins anew; a GET with 400 ms that was reset after 300 ms ended after 722 ms (a POST, which is not repeated, after 305 ms). A pushed upstream resets connections. Now the whole wait is bounded.

The test asks what it asked before.

--- a/src/test/java/myrtleladder/testbed/process/BrokenBalancer.java
+++ b/src/test/java/myrtleladder/testbed/process/BrokenBalancer.java
@@ -10,12 +10,14 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -123,12 +125,9 @@
             throws IOException {
         List<String> known = upstreams;
         String to = known.get(count.get() % known.size());
-        // An upstream that is pushed answers late; to wait beyond the request's time breaks one
-        // rule more.
         long left = Long.parseLong(exchange.getRequestHeaders().getFirst("X-Time-Left-Ms"));
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(URI.create("http://" + to + exchange.getRequestURI()))
-                        .timeout(Duration.ofMillis(Math.max(1, left)))
                         .method(
                                 exchange.getRequestMethod(),
                                 HttpRequest.BodyPublishers.ofByteArray(body));
@@ -138,8 +137,22 @@
                 request.header(name, name.startsWith("X-C") ? value + suffix : value);
             }
         }
+        return send(request.build(), Math.max(1, left));
+    }
+
+    /**
+     * Waits for an answer. An upstream that is pushed answers late; to wait beyond the request's
+     * time breaks one rule more. The client's own timeout does not bound the wait: it begins anew
+     * when the client repeats a GET whose connection was reset.
+     */
+    private HttpResponse<byte[]> send(HttpRequest request, long timeoutMs) throws IOException {
+        CompletableFuture<HttpResponse<byte[]>> answer =
+                http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
         try {
-            return http.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+            return answer.get(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            answer.cancel(true);
+            throw new IOException(e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException(e);
