Log defects of the HTTP server and of calls through the event loop

PackagesTest failed on: http and rpc may not use a logger of their own. EventLoop, which they may use and which logs what its tasks throw, takes the report now. PackagesTest, HttpTest and PeerClientTest pass.

--- a/src/main/java/myrtleladder/eventloop/EventLoop.java
+++ b/src/main/java/myrtleladder/eventloop/EventLoop.java
@@ -150,10 +150,15 @@
         try {
             task.run();
         } catch (RuntimeException | Error e) {
-            LOG.error("task failed", e);
+            reportDefect("task failed", e);
         }
     }
 
+    /** Logs an exception or error that nobody expected and that must not end the loop. */
+    public void reportDefect(String description, Throwable defect) {
+        LOG.error(description, defect);
+    }
+
     /** Runs what is due before each selection and bounds the selection by the next timer. */
     private final class TimedSelectorHandler extends DefaultSelectorHandler {
         TimedSelectorHandler() {
--- a/src/main/java/myrtleladder/http/HttpExchange.java
+++ b/src/main/java/myrtleladder/http/HttpExchange.java
@@ -1,7 +1,5 @@
 package myrtleladder.http;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -16,8 +14,6 @@
 
 /** A complete request and its response on a connection of Grizzly. Confined to the event loop. */
 final class HttpExchange implements ServerExchange {
-    private static final Logger LOG = LogManager.getLogger(HttpExchange.class);
-
     static final byte[] NO_BYTES = {};
 
     private static final int INTERNAL_SERVER_ERROR = 500;
@@ -208,7 +204,7 @@
         try {
             headers.forEach((name, value) -> addField(built, name, value));
         } catch (RuntimeException e) {
-            LOG.error("failed to build the head of a response", e);
+            owner.server().reportDefect("failed to build the head of a response", e);
             return null;
         }
         if (!keep) {
--- a/src/main/java/myrtleladder/http/HttpServer.java
+++ b/src/main/java/myrtleladder/http/HttpServer.java
@@ -134,6 +134,10 @@
         return loop.now();
     }
 
+    void reportDefect(String description, Throwable defect) {
+        loop.reportDefect(description, defect);
+    }
+
     boolean isClosing() {
         return closing;
     }
--- a/src/main/java/myrtleladder/http/ServerConnection.java
+++ b/src/main/java/myrtleladder/http/ServerConnection.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Arrays;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpContent;
@@ -16,8 +14,6 @@
  * <p>Threading: confined to the event loop.
  */
 final class ServerConnection {
-    private static final Logger LOG = LogManager.getLogger(ServerConnection.class);
-
     /** Pipelined requests behind the current one; with more the connection is closed. */
     private static final int MAX_PIPELINED = 16;
 
@@ -113,8 +109,8 @@
         try {
             server.handle(exchange);
         } catch (RuntimeException | Error e) {
-            LOG.error(
-                    "failed to handle {} {}", exchange.head().method(), exchange.head().path(), e);
+            String request = exchange.head().method() + " " + exchange.head().path();
+            server.reportDefect("failed to handle " + request, e);
             exchange.fail();
         }
     }
--- a/src/main/java/myrtleladder/rpc/PeerClient.java
+++ b/src/main/java/myrtleladder/rpc/PeerClient.java
@@ -16,8 +16,6 @@
 import myrtleladder.replication.PeerTransport;
 import myrtleladder.result.ResultException;
 import myrtleladder.scheduler.Scheduler;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * Sends messages to other processes of the fleet over pooled connections, one call in flight on
@@ -27,8 +25,6 @@
  * <p>Threading: confined to the event loop.
  */
 public final class PeerClient implements PeerTransport {
-    private static final Logger LOG = LogManager.getLogger(PeerClient.class);
-
     /** Request target of all messages. */
     private static final String PATH = "/message";
 
@@ -75,7 +71,7 @@
                 started.connect();
             }
         } catch (RuntimeException e) {
-            LOG.error("failed to call {}", address, e);
+            loop.reportDefect("failed to call " + address, e);
             loop.execute(started::fail);
         }
     }
