Forget a rival when it was forgotten before, and probe one that probes us

A probe from a rival that this process does not know, or has forgotten, is what ends the state in which it is never told of it again.

--- a/src/main/java/myrtleladder/gossip/Membership.java
+++ b/src/main/java/myrtleladder/gossip/Membership.java
@@ -264,7 +264,7 @@
             if (periodNumber % RECONNECT_PERIODS == 0) {
                 reconnector.probeOne();
             }
-            nameConflicts.onPeriod(nowUs);
+            nameConflicts.onPeriod(nowUs, periodNumber);
         }
         if (!queue.isEmpty()) {
             gossipTo(settings.gossipFanout());
--- a/src/main/java/myrtleladder/gossip/NameConflictDetector.java
+++ b/src/main/java/myrtleladder/gossip/NameConflictDetector.java
@@ -12,6 +12,8 @@
     /** A rival that has not answered for so many protocol periods is gone. */
     private static final int RIVAL_TIMEOUT_PERIODS = 10;
 
+    private static final long NEVER_US = Long.MIN_VALUE;
+
     private final GossipSettings settings;
     private final LocalMember localMember;
     private final SequenceNumbers sequenceNumbers;
@@ -25,9 +27,9 @@
      * Another process with the same name.
      *
      * @param sequenceNumber of the last probe that it was sent
-     * @param heardUs when it last answered a probe, or when it was heard of if it never did
+     * @param answeredUs when it last answered one, {@link #NEVER_US} if never
      */
-    private record Rival(MemberUpdate update, long sequenceNumber, long heardUs) {}
+    private record Rival(MemberUpdate update, long sequenceNumber, long answeredUs) {}
 
     NameConflictDetector(
             GossipSettings settings,
@@ -57,7 +59,7 @@
             return;
         }
         if (update.state().isPresent()) {
-            probeIfUnknown(nowUs, update);
+            probeIfUnknown(update);
         }
         localMember.raiseIncarnationAbove(nowUs, update.incarnation(), local.hasNameConflict());
     }
@@ -67,15 +69,15 @@
         if (datagram.kind() == GossipDatagram.Kind.PING) {
             sender.send(from, GossipDatagram.Kind.ACK, datagram.sequenceNumber(), null);
             // The other process may know of the conflict, upon which it spreads no newer update.
-            probeIfUnknown(nowUs, datagram.sender());
+            probeIfUnknown(datagram.sender());
         } else if (datagram.kind() == GossipDatagram.Kind.ACK && isAnswerOfRival(datagram)) {
             onRivalAnswered(nowUs, datagram.sender());
         }
     }
 
-    private void probeIfUnknown(long nowUs, MemberUpdate update) {
+    private void probeIfUnknown(MemberUpdate update) {
         if (rival == null) {
-            rival = new Rival(update, sequenceNumbers.next(), nowUs);
+            rival = new Rival(update, sequenceNumbers.next(), NEVER_US);
             probeRival();
         }
     }
@@ -97,19 +99,19 @@
     }
 
     /** Probes the rival again, or forgets it if it does not answer; once in each period. */
-    void onPeriod(long nowUs) {
+    void onPeriod(long nowUs, long periodNumber) {
         if (rival == null) {
             return;
         }
         MemberUpdate local = localMember.current();
         long timeoutUs = RIVAL_TIMEOUT_PERIODS * settings.protocolPeriodUs();
-        if (nowUs - rival.heardUs() <= timeoutUs) {
-            rival = new Rival(rival.update(), sequenceNumbers.next(), rival.heardUs());
-            probeRival();
-        } else if (local.hasNameConflict()) {
+        if (!local.hasNameConflict() && periodNumber % RIVAL_TIMEOUT_PERIODS == 0) {
+            rival = null; // an earlier start of this process, of which the update came late
+        } else if (local.hasNameConflict() && nowUs - rival.answeredUs() > timeoutUs) {
             onRivalGone(nowUs);
         } else {
-            rival = null; // an earlier start of this process, of which the update came late
+            rival = new Rival(rival.update(), sequenceNumbers.next(), rival.answeredUs());
+            probeRival();
         }
     }
 
