Count the quota units of each tenant by their source at each balancer

Need: logs could not tell units granted by the primary from those that a balancer used without it, so the hypotheses about QUOTA could not be told apart. Change: QuotaUsage counts granted, fallback and overdrawn units for each tenant; logged every 10 s if something was used without the primary, and when the process terminates. No decision changes.

--- a/src/main/java/myrtleladder/dataplane/DataPlane.java
+++ b/src/main/java/myrtleladder/dataplane/DataPlane.java
@@ -86,6 +86,7 @@
             picker.updateWeights(nowMs);
             warmupContext.counters().logStates(directory.all(), nowMs);
             connections.closeExpired();
+            quotas.logUsage(nowMs);
         }
     }
 
--- a/src/main/java/myrtleladder/dataplane/Main.java
+++ b/src/main/java/myrtleladder/dataplane/Main.java
@@ -207,10 +207,11 @@
         if (nowMs >= latestMs || (nowMs >= earliestMs && isIdle)) {
             int inFlight = dataPlane.activeRequests().size();
             LOG.info(
-                    "terminating, {} requests in flight; {}; {}",
+                    "terminating, {} requests in flight; {}; {}; quota units used: {}",
                     inFlight,
                     dataPlane.counters(),
-                    dataPlane.warmupContext().counters());
+                    dataPlane.warmupContext().counters(),
+                    dataPlane.quotas().usage());
             terminated.countDown();
             return;
         }
--- a/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
+++ b/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import myrtleladder.configuration.Configuration;
@@ -10,6 +11,8 @@
 import myrtleladder.protocol.Message;
 import myrtleladder.protocol.QuotaRequest;
 import myrtleladder.protocol.QuotaResponse;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Acquires quota units of tenants from their token buckets at the primary. While the primary does
@@ -43,7 +46,9 @@
     /** Lower bound of the rate in divisions, so that the quotient is finite. */
     private static final double MIN_RATE_PER_S = 1e-6;
 
+    private static final long USAGE_LOG_INTERVAL_MS = 10_000;
     private static final long NEVER_MS = Long.MAX_VALUE;
+    private static final Logger LOG = LogManager.getLogger(TenantQuotaClient.class);
 
     /** Sends quota requests to the primary. */
     interface QuotaAllocator {
@@ -62,9 +67,12 @@
     private long primaryUnavailableSinceMs = NEVER_MS;
     private long nextPrimaryRequestAtMs;
     private long clockMs;
+    private long nextUsageLogAtMs;
+    private double loggedUnitsWithoutPrimary;
 
     /** Quota state of one tenant. */
     private static final class TenantState {
+        final QuotaUsage usage = new QuotaUsage();
         Tenant tenant;
 
         /** Units granted by the primary and not used yet. */
@@ -123,8 +131,7 @@
         if (state == null || !isLimited(tenant)) {
             callback.accept(0);
         } else if (state.grantedUnits >= costUnits) {
-            state.grantedUnits -= costUnits;
-            callback.accept(0);
+            useGrantedUnits(state, costUnits, callback);
         } else if (nowMs < state.bucketEmptyUntilMs) {
             callback.accept(state.bucketEmptyUntilMs - nowMs);
         } else if (nowMs < nextPrimaryRequestAtMs) {
@@ -141,6 +148,13 @@
         return tenant.ratePerSecond() > 0;
     }
 
+    private static void useGrantedUnits(
+            TenantState state, double costUnits, LongConsumer callback) {
+        state.grantedUnits -= costUnits;
+        state.usage.addGranted(costUnits);
+        callback.accept(0);
+    }
+
     /**
      * Advances the clock that is read when responses arrive. To be called before {@link #acquire}
      * and periodically in between.
@@ -160,8 +174,7 @@
         primaryUnavailableSinceMs = NEVER_MS;
         state.grantedUnits += grant.grantedUnits;
         if (state.grantedUnits >= costUnits) {
-            state.grantedUnits -= costUnits;
-            callback.accept(0);
+            useGrantedUnits(state, costUnits, callback);
             return;
         }
         state.bucketEmptyUntilMs = clockMs + Math.min(MAX_EMPTY_BACKOFF_MS, grant.waitMs);
@@ -173,6 +186,7 @@
         double ratePerS = fallbackRatePerS(state.tenant, nowMs);
         refillFallback(state, costUnits, ratePerS, nowMs);
         if (state.fallbackUnits >= 0) {
+            state.usage.addFallback(costUnits, Math.min(costUnits, state.fallbackUnits));
             state.fallbackUnits -= costUnits;
             return 0;
         }
@@ -216,4 +230,30 @@
             state.fallbackUnits = Math.min(0, state.fallbackUnits + costUnits);
         }
     }
+
+    /**
+     * Logs what the tenants used, at most once in an interval and only if some of it was used
+     * without the primary since the last time.
+     */
+    void logUsage(long nowMs) {
+        if (nowMs < nextUsageLogAtMs) {
+            return;
+        }
+        nextUsageLogAtMs = nowMs + USAGE_LOG_INTERVAL_MS;
+        double unitsWithoutPrimary = 0;
+        for (TenantState state : tenants.values()) {
+            unitsWithoutPrimary += state.usage.unitsWithoutPrimary();
+        }
+        if (unitsWithoutPrimary != loggedUnitsWithoutPrimary) {
+            loggedUnitsWithoutPrimary = unitsWithoutPrimary;
+            LOG.info("quota units used: {}", usage());
+        }
+    }
+
+    /** What each tenant used at this balancer. */
+    Map<String, QuotaUsage> usage() {
+        Map<String, QuotaUsage> usageByTenant = new TreeMap<>();
+        tenants.forEach((name, state) -> usageByTenant.put(name, state.usage));
+        return usageByTenant;
+    }
 }
