Do not divide quotas by a count of balancers that is still growing

Seen by callers: after a restart of all processes a tenant could get several times its limit. A new primary counts the balancers that have polled it, so each restarted balancer first learned of one, two or a few balancers, and without an answer of the primary it took that part of the limit for itself. Cause: the number of balancers was used before it was complete. Change: a balancer's share rests on a count only once all balancers had time to poll the primary (the list is authoritative); an incomplete count can only raise it. A process that knows none uses nothing without the primary.

--- a/src/main/java/myrtleladder/dataplane/ControlPoller.java
+++ b/src/main/java/myrtleladder/dataplane/ControlPoller.java
@@ -348,7 +348,7 @@
         if (response.authoritative && !response.balancerList.isEmpty()) {
             dataPlane.setBalancerList(response.balancerList);
         }
-        dataPlane.setBalancerCount(response.balancerCount);
+        dataPlane.setBalancerCount(response.balancerCount, response.authoritative);
         // Last, so that everything else is applied if this balancer cannot read the document.
         if (response.generation > generation && response.document.length > 0) {
             applyConfiguration(response);
--- a/src/main/java/myrtleladder/dataplane/DataPlane.java
+++ b/src/main/java/myrtleladder/dataplane/DataPlane.java
@@ -102,11 +102,15 @@
         return configuration;
     }
 
-    /** Sets the number of balancers that share quotas, retry budgets and connection limits. */
-    void setBalancerCount(int count) {
+    /**
+     * Sets the number of balancers that share quotas, retry budgets and connection limits.
+     *
+     * @param isComplete whether all balancers have had time to poll the primary
+     */
+    void setBalancerCount(int count, boolean isComplete) {
         picker.setBalancerCount(count);
         retryBudget.setBalancerCount(count);
-        quotas.setBalancerCount(count);
+        quotas.setBalancerCount(count, isComplete);
     }
 
     /** Replaces the list of balancers that share the request budgets of cold upstreams. */
--- a/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
+++ b/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
@@ -63,7 +63,10 @@
     private final QuotaAllocator allocator;
     private final SplittableRandom random;
     private final Map<String, TenantState> tenants = new HashMap<>();
-    private int balancerCount = 1;
+
+    /** Number of balancers among which quotas are divided, 0 if it is not known. */
+    private int balancerCount;
+
     private long primaryUnavailableSinceMs = NEVER_MS;
     private long nextPrimaryRequestAtMs;
     private long clockMs;
@@ -103,9 +106,18 @@
         }
     }
 
-    /** Sets the number of balancers among which quotas are divided without the primary. */
-    void setBalancerCount(int count) {
-        balancerCount = Math.max(1, count);
+    /**
+     * Sets the number of balancers among which quotas are divided without the primary.
+     *
+     * @param isComplete whether all balancers have had time to poll the primary; if not, the number
+     *     may be too low and is used only if it is higher than the one before
+     */
+    void setBalancerCount(int count, boolean isComplete) {
+        if (isComplete) {
+            balancerCount = Math.max(1, count);
+        } else if (balancerCount > 0) {
+            balancerCount = Math.max(balancerCount, count);
+        }
     }
 
     /**
@@ -183,6 +195,9 @@
 
     /** Acquires from the fallback bucket; returns 0 or the milliseconds until its debt is paid. */
     private long acquireFromFallback(TenantState state, double costUnits, long nowMs) {
+        if (balancerCount == 0) {
+            return Math.max(1, nextPrimaryRequestAtMs - nowMs);
+        }
         double ratePerS = fallbackRatePerS(state.tenant, nowMs);
         refillFallback(state, costUnits, ratePerS, nowMs);
         if (state.fallbackUnits >= 0) {
--- a/src/test/java/myrtleladder/dataplane/TenantQuotaClientTest.java
+++ b/src/test/java/myrtleladder/dataplane/TenantQuotaClientTest.java
@@ -37,7 +37,7 @@
     private TenantQuotaClient client(TenantQuotaClient.QuotaAllocator allocator, long seed) {
         TenantQuotaClient client = new TenantQuotaClient(allocator, seed);
         client.applyConfiguration(configuration);
-        client.setBalancerCount(BALANCERS);
+        client.setBalancerCount(BALANCERS, true);
         return client;
     }
 
@@ -100,4 +100,24 @@
                 acquiredUnits[0] >= 0.7 * expectedUnits,
                 "too few units: " + acquiredUnits[0] + " of " + expectedUnits);
     }
+
+    @Test
+    void newProcessUsesNoShareOfAFleetWhoseSizeItDoesNotKnow() {
+        TenantQuotaClient client =
+                new TenantQuotaClient((request, timeoutMs, callback) -> callback.accept(null), 1);
+        client.applyConfiguration(configuration);
+        client.setBalancerCount(1, false);
+        acquire(client, 10, 0);
+        assertTrue(acquire(client, 10, 900).get(0) > 0);
+        client.setBalancerCount(BALANCERS, true);
+        assertEquals(List.of(0L), acquire(client, 10, 1_800));
+    }
+
+    /** Acquires units at a time and returns the decision when there is one. */
+    private List<Long> acquire(TenantQuotaClient client, double units, long nowMs) {
+        List<Long> waitsMs = new ArrayList<>();
+        client.advanceClock(nowMs);
+        client.acquire(tenant, units, nowMs, waitsMs::add);
+        return waitsMs;
+    }
 }
