Admit requests without the primary in proportion to what has accrued for them

Seen by callers: while the primary fails over, a tenant that asks for far more than its limit gets more than it in a window. Cause: a fallback bucket at zero or above let one request of any size pass, on each balancer; the debt drawn against that had the size of the first request, mostly a small one. With sizes from 200 to 93,000 tokens the overdrafts exceed the debts, and each further failure drew a new debt and forgot the old one. Change: a request passes with the probability accrued / cost and uses up what has accrued in either case, so the expected use is what has accrued for any sizes. Probabilities are summed from a random start that is drawn once, so a balancer is off by less than one request.

--- a/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
+++ b/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
@@ -16,10 +16,8 @@
 
 /**
  * Acquires quota units of tenants from their token buckets at the primary. While the primary does
- * not respond, this balancer uses a local fallback bucket for each tenant: for a short time at a
- * rate close to the quota divided by the number of balancers, afterwards at a much lower rate,
- * because other balancers may reach the primary and be granted the whole quota. Confined to the
- * event loop.
+ * not respond, this balancer uses a {@link FallbackBucket} for each tenant. Confined to the event
+ * loop.
  */
 final class TenantQuotaClient {
     /** Timeout of a request to the primary. */
@@ -31,21 +29,6 @@
     /** Maximum time without requests for a tenant whose bucket at the primary is empty. */
     private static final long MAX_EMPTY_BACKOFF_MS = 100;
 
-    /** Time after the primary became unavailable during which the initial rate is used. */
-    private static final long INITIAL_FALLBACK_DURATION_MS = 4_000;
-
-    /** Initial fallback rate as a fraction of the quota divided by the number of balancers. */
-    private static final double INITIAL_FALLBACK_FRACTION = 0.85;
-
-    /** Later fallback rate as a fraction of the quota divided by the number of balancers. */
-    private static final double REDUCED_FALLBACK_FRACTION = 0.25;
-
-    /** Capacity of a fallback bucket, in seconds of its refill rate. */
-    private static final double FALLBACK_CAPACITY_S = 0.5;
-
-    /** Lower bound of the rate in divisions, so that the quotient is finite. */
-    private static final double MIN_RATE_PER_S = 1e-6;
-
     private static final long USAGE_LOG_INTERVAL_MS = 10_000;
     private static final long NEVER_MS = Long.MAX_VALUE;
     private static final Logger LOG = LogManager.getLogger(TenantQuotaClient.class);
@@ -75,6 +58,7 @@
 
     /** Quota state of one tenant. */
     private static final class TenantState {
+        final FallbackBucket fallback;
         final QuotaUsage usage = new QuotaUsage();
         Tenant tenant;
 
@@ -83,10 +67,9 @@
 
         long bucketEmptyUntilMs;
 
-        /** Units in the fallback bucket; a negative value is a debt. */
-        double fallbackUnits;
-
-        long fallbackUpdatedAtMs = Long.MIN_VALUE;
+        TenantState(double initialDebt) {
+            fallback = new FallbackBucket(initialDebt);
+        }
     }
 
     /** Creates a client; the seed determines the random initial debts of fallback buckets. */
@@ -100,7 +83,10 @@
         Map<String, TenantState> previousStates = new HashMap<>(tenants);
         tenants.clear();
         for (Tenant tenant : configuration.tenants()) {
-            TenantState state = previousStates.getOrDefault(tenant.name(), new TenantState());
+            TenantState state = previousStates.get(tenant.name());
+            if (state == null) {
+                state = new TenantState(random.nextDouble());
+            }
             state.tenant = tenant;
             tenants.put(tenant.name(), state);
         }
@@ -184,6 +170,7 @@
             return;
         }
         primaryUnavailableSinceMs = NEVER_MS;
+        nextPrimaryRequestAtMs = clockMs;
         state.grantedUnits += grant.grantedUnits;
         if (state.grantedUnits >= costUnits) {
             useGrantedUnits(state, costUnits, callback);
@@ -193,40 +180,26 @@
         callback.accept(Math.max(1, grant.waitMs));
     }
 
-    /** Acquires from the fallback bucket; returns 0 or the milliseconds until its debt is paid. */
+    /** Acquires from the fallback bucket; returns 0 or the milliseconds until the next request. */
     private long acquireFromFallback(TenantState state, double costUnits, long nowMs) {
-        if (balancerCount == 0) {
-            return Math.max(1, nextPrimaryRequestAtMs - nowMs);
-        }
-        double ratePerS = fallbackRatePerS(state.tenant, nowMs);
-        refillFallback(state, costUnits, ratePerS, nowMs);
-        if (state.fallbackUnits >= 0) {
-            state.usage.addFallback(costUnits, Math.min(costUnits, state.fallbackUnits));
-            state.fallbackUnits -= costUnits;
+        FallbackBucket.Outcome outcome =
+                balancerCount == 0
+                        ? FallbackBucket.Outcome.REJECTED
+                        : state.fallback.acquire(
+                                costUnits,
+                                shareRatePerS(state.tenant),
+                                primaryUnavailableSinceMs,
+                                nowMs);
+        if (outcome.isAdmitted()) {
+            state.usage.addFallback(costUnits, outcome.consumedUnits());
             return 0;
         }
-        double debtUnits = -state.fallbackUnits;
-        return Math.max(1, Math.round(debtUnits / Math.max(ratePerS, MIN_RATE_PER_S) * 1_000));
-    }
-
-    private double fallbackRatePerS(Tenant tenant, long nowMs) {
-        boolean isInitialPeriod = nowMs - primaryUnavailableSinceMs <= INITIAL_FALLBACK_DURATION_MS;
-        double fraction = isInitialPeriod ? INITIAL_FALLBACK_FRACTION : REDUCED_FALLBACK_FRACTION;
-        return tenant.ratePerSecond() * fraction / balancerCount;
+        return Math.max(1, nextPrimaryRequestAtMs - nowMs);
     }
 
-    private void refillFallback(TenantState state, double costUnits, double ratePerS, long nowMs) {
-        if (state.fallbackUpdatedAtMs < primaryUnavailableSinceMs) {
-            // A request may overdraw its bucket, and all balancers fall back at the same time.
-            // Random initial debts keep them from all overdrawing at once.
-            state.fallbackUnits = -random.nextDouble() * costUnits;
-        }
-        long refilledUntilMs = Math.max(state.fallbackUpdatedAtMs, primaryUnavailableSinceMs);
-        double refilledUnits = ratePerS * (nowMs - refilledUntilMs) / 1_000;
-        double capacityUnits = ratePerS * FALLBACK_CAPACITY_S;
-        state.fallbackUnits =
-                Math.min(capacityUnits, state.fallbackUnits + Math.max(0, refilledUnits));
-        state.fallbackUpdatedAtMs = nowMs;
+    /** This balancer's share of a quota. */
+    private double shareRatePerS(Tenant tenant) {
+        return tenant.ratePerSecond() / balancerCount;
     }
 
     /**
@@ -241,8 +214,8 @@
         if (primaryUnavailableSinceMs == NEVER_MS) {
             QuotaRequest refund = QuotaRequest.of(tenant.name(), -costUnits);
             allocator.request(refund, REQUEST_TIMEOUT_MS, response -> {});
-        } else {
-            state.fallbackUnits = Math.min(0, state.fallbackUnits + costUnits);
+        } else if (balancerCount > 0) {
+            state.fallback.refund(costUnits, shareRatePerS(tenant));
         }
     }
 
--- a/src/test/java/myrtleladder/dataplane/QuotaLimitTest.java
+++ b/src/test/java/myrtleladder/dataplane/QuotaLimitTest.java
@@ -30,6 +30,19 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"60000,1500", "200000,1500", "500000,500", "500000,1500", "500000,3000"})
+    void fallbackBucketsDoNotOverdrawTheLimitDuringAFailover(double ratePerS, long gapMs) {
+        assertLimitHolds(
+                BALANCERS,
+                ratePerS,
+                (fleet, demandRatio) -> {
+                    fleet.run(3_000, demandRatio);
+                    fleet.failOver(gapMs);
+                    fleet.run(10_000 + gapMs, demandRatio);
+                });
+    }
+
     @ParameterizedTest
     @CsvSource({"60000", "500000"})
     void restartedBalancersDoNotTakeAFewForTheWholeFleet(double ratePerS) {
