Do not charge a new primary's buckets for shares that it begins to reserve

Need: found by reading. While balancers poll a new primary one after the other the reserved share may grow, and the units for the second before were consumed from buckets that had not been refilled in that second; a node that is not primary set and logged a reserved share, too. Change: only a primary sets the share, and growth is charged once the primary is not new. Measured: QuotaAllocatorTest, QuotaLimitTest, BalancerRegistryTest, ControlPlaneTest, TenantQuotaClientTest, FallbackBucketTest pass.

--- a/src/main/java/myrtleladder/controlplane/ControlPlane.java
+++ b/src/main/java/myrtleladder/controlplane/ControlPlane.java
@@ -318,8 +318,9 @@
         balancers.expire(nowMs);
         boolean isNewPrimary = !isInstanceListAuthoritative(nowMs);
         quotas.setBalancerCount(balancers.count(isNewPrimary));
-        quotas.setReservedShare(balancers.reservedShare(isNewPrimary, nowMs), nowMs);
         if (isPrimary) {
+            double reservedShare = balancers.reservedShare(isNewPrimary, nowMs);
+            quotas.setReservedShare(reservedShare, isNewPrimary, nowMs);
             tickAsPrimary(nowMs);
         }
     }
--- a/src/main/java/myrtleladder/controlplane/QuotaAllocator.java
+++ b/src/main/java/myrtleladder/controlplane/QuotaAllocator.java
@@ -48,9 +48,6 @@
     private int balancerCount = 1;
     private double reservedShare;
 
-    /** Whether the reserved share was set since the buckets were removed. */
-    private boolean isReservedShareKnown;
-
     /** The bucket of a tenant with a rate. */
     private record TenantBucket(Tenant tenant, TokenBucket bucket) {}
 
@@ -68,7 +65,6 @@
     /** Removes all buckets, since their levels are outdated when another node has been primary. */
     void clear() {
         bucketByTenant.clear();
-        isReservedShareKnown = false;
     }
 
     /**
@@ -112,17 +108,17 @@
     /**
      * Sets the share of all quotas that is reserved for balancers out of contact, so that the
      * buckets are refilled more slowly from now on. If the share has grown, the units that those
-     * balancers may have used before they counted as out of contact are consumed.
+     * balancers may have used before they counted as out of contact are consumed, unless the
+     * primary is new and its buckets were not refilled in that time.
      */
-    void setReservedShare(double share, long nowMs) {
+    void setReservedShare(double share, boolean isNewPrimary, long nowMs) {
         if (share == reservedShare) {
             return;
         }
         if (share == 0 || reservedShare == 0) {
             LOG.info("share of quotas reserved for balancers out of contact: {}", share);
         }
-        double addedShare = isReservedShareKnown ? Math.max(0, share - reservedShare) : 0;
-        isReservedShareKnown = true;
+        double addedShare = isNewPrimary ? 0 : Math.max(0, share - reservedShare);
         reservedShare = share;
         for (TenantBucket entry : bucketByTenant.values()) {
             entry.bucket.setRate(refillRatePerS(entry.tenant), nowMs);
--- a/src/test/java/myrtleladder/controlplane/QuotaAllocatorTest.java
+++ b/src/test/java/myrtleladder/controlplane/QuotaAllocatorTest.java
@@ -114,10 +114,19 @@
         QuotaAllocator quotas = new QuotaAllocator(0, 0);
         quotas.configure(configuration(1_000, 1_000), true, 0);
         quotas.grant(QuotaRequest.of("t", 1_000), 0);
-        quotas.setReservedShare(0.4, 0);
+        quotas.setReservedShare(0.4, true, 0);
         assertEquals(600, quotas.grant(QuotaRequest.of("t", 600), 1_000).grantedUnits);
         assertEquals(0, quotas.grant(QuotaRequest.of("t", 1), 1_000).grantedUnits);
-        quotas.setReservedShare(0, 1_000);
+        quotas.setReservedShare(0, true, 1_000);
         assertEquals(1, quotas.grant(QuotaRequest.of("t", 1), 1_001).grantedUnits);
     }
+
+    @Test
+    void unitsUsedBeforeABalancerCountsAsOutOfContactAreConsumed() {
+        QuotaAllocator quotas = new QuotaAllocator(0, 0);
+        quotas.configure(configuration(1_000, 1_000), true, 0);
+        quotas.setReservedShare(0.4, false, 0);
+        assertEquals(600, quotas.grant(QuotaRequest.of("t", 600), 0).grantedUnits);
+        assertEquals(0, quotas.grant(QuotaRequest.of("t", 1), 0).grantedUnits);
+    }
 }
--- a/src/test/java/myrtleladder/controlplane/QuotaPrimary.java
+++ b/src/test/java/myrtleladder/controlplane/QuotaPrimary.java
@@ -58,7 +58,8 @@
     public void tick(long nowMs) {
         balancers.expire(nowMs);
         quotas.setBalancerCount(balancers.count(isNew(nowMs)));
-        quotas.setReservedShare(balancers.reservedShare(isNew(nowMs), nowMs), nowMs);
+        boolean isNew = isNew(nowMs);
+        quotas.setReservedShare(balancers.reservedShare(isNew, nowMs), isNew, nowMs);
     }
 
     private boolean isNew(long nowMs) {
