Count refused quota units by reason, log blocked control nodes, model stalling primaries

Change: three counters of refused units in 'quota units used'; a line when a control node's event loop was blocked or suspended; a primary that stalls in QuotaFleet, with seven cases of QuotaLimitTest.

--- a/src/main/java/myrtleladder/controlplane/ControlPlane.java
+++ b/src/main/java/myrtleladder/controlplane/ControlPlane.java
@@ -174,6 +174,7 @@
         quotaRequests.attach(attached);
         shareInstancesRequests.attach(attached);
         instances.recover(attached.instancesAtStart(), scheduler.now());
+        lastTickMs = scheduler.now();
         scheduler.schedule(TICK_INTERVAL_MS, this::tick);
         if (tallies != null) {
             tallies.start(this::memberAddresses);
@@ -310,9 +311,10 @@
     private void tick() {
         scheduler.schedule(TICK_INTERVAL_MS, this::tick);
         long nowMs = scheduler.now();
-        boolean wasSuspended = nowMs - lastTickMs > SUSPENSION_THRESHOLD_MS;
+        long sinceLastTickMs = nowMs - lastTickMs;
         lastTickMs = nowMs;
-        if (wasSuspended) {
+        if (sinceLastTickMs > SUSPENSION_THRESHOLD_MS) {
+            LOG.warn("the event loop was blocked or suspended for {} ms", sinceLastTickMs);
             instances.resetLastSeen(nowMs);
         }
         balancers.expire(nowMs);
--- a/src/main/java/myrtleladder/dataplane/QuotaUsage.java
+++ b/src/main/java/myrtleladder/dataplane/QuotaUsage.java
@@ -3,14 +3,17 @@
 import java.util.Locale;
 
 /**
- * Counts the quota units that requests of one tenant used at this balancer, by their source.
- * Confined to the event loop.
+ * Counts the quota units that requests of one tenant used at this balancer, by their source, and
+ * those that it refused, by their reason. Confined to the event loop.
  */
 final class QuotaUsage {
     private double grantedUnits;
     private double fallbackUnits;
     private double fallbackAccruedUnits;
     private double lateUnits;
+    private double emptyBucketUnits;
+    private double exhaustedFallbackUnits;
+    private double unknownShareUnits;
 
     /** Counts units of a request that were granted by the primary. */
     void addGranted(double units) {
@@ -32,9 +35,28 @@
         lateUnits += units;
     }
 
-    /** Units that were used without the primary or granted too late. */
-    double unitsWithoutPrimary() {
-        return fallbackUnits + lateUnits;
+    /** Counts units that were refused because the primary's bucket is empty. */
+    void addRefusedByPrimary(double units) {
+        emptyBucketUnits += units;
+    }
+
+    /** Counts units that were refused because too few had accrued without the primary. */
+    void addRefusedByFallback(double units) {
+        exhaustedFallbackUnits += units;
+    }
+
+    /** Counts units that were refused because the number of balancers is not known yet. */
+    void addRefusedWithoutShare(double units) {
+        unknownShareUnits += units;
+    }
+
+    /** Units that were refused, used without the primary or granted too late. */
+    double unitsNotGrantedInTime() {
+        return fallbackUnits
+                + lateUnits
+                + emptyBucketUnits
+                + exhaustedFallbackUnits
+                + unknownShareUnits;
     }
 
     /** All counts as name=value pairs. */
@@ -42,10 +64,14 @@
     public String toString() {
         return String.format(
                 Locale.ROOT,
-                "granted=%.0f fallback=%.0f overdraft=%.0f late=%.0f",
+                "granted=%.0f fallback=%.0f overdraft=%.0f late=%.0f"
+                        + " refused_empty=%.0f refused_fallback=%.0f refused_no_share=%.0f",
                 grantedUnits,
                 fallbackUnits,
                 fallbackUnits - fallbackAccruedUnits,
-                lateUnits);
+                lateUnits,
+                emptyBucketUnits,
+                exhaustedFallbackUnits,
+                unknownShareUnits);
     }
 }
--- a/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
+++ b/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
@@ -72,7 +72,7 @@
     private long nextPrimaryRequestAtMs;
     private long clockMs;
     private long nextUsageLogAtMs;
-    private double loggedUnitsWithoutPrimary;
+    private double loggedUnitsNotGrantedInTime;
 
     /** Creates a client; the seed determines the random initial debts of fallback buckets. */
     TenantQuotaClient(QuotaAllocator allocator, long seed) {
@@ -151,6 +151,7 @@
             useGrantedUnits(state, costUnits);
             callback.accept(0);
         } else if (nowMs < state.bucketEmptyUntilMs) {
+            state.usage.addRefusedByPrimary(costUnits);
             callback.accept(state.bucketEmptyUntilMs - nowMs);
         } else if (nowMs < nextPrimaryRequestAtMs) {
             FallbackBucket.Outcome outcome = acquireFromFallback(state, costUnits, nowMs);
@@ -216,6 +217,7 @@
             acquisition.decide(0);
             return;
         }
+        state.usage.addRefusedByPrimary(acquisition.costUnits());
         state.bucketEmptyUntilMs = clockMs + Math.min(MAX_EMPTY_BACKOFF_MS, grant.waitMs);
         acquisition.decide(Math.max(1, grant.waitMs));
     }
@@ -237,7 +239,12 @@
 
     private FallbackBucket.Outcome acquireFromFallback(
             TenantQuotaState state, double costUnits, long nowMs) {
-        if (balancerCount == 0 || isAwaitingReport(state)) {
+        if (balancerCount == 0) {
+            state.usage.addRefusedWithoutShare(costUnits);
+            return FallbackBucket.Outcome.REJECTED;
+        }
+        if (isAwaitingReport(state)) {
+            state.usage.addRefusedByFallback(costUnits);
             return FallbackBucket.Outcome.REJECTED;
         }
         FallbackBucket.Outcome outcome =
@@ -248,6 +255,8 @@
         }
         if (outcome.isAdmitted()) {
             state.usage.addFallback(costUnits, outcome.consumedUnits());
+        } else {
+            state.usage.addRefusedByFallback(costUnits);
         }
         return outcome;
     }
@@ -314,20 +323,20 @@
     }
 
     /**
-     * Logs what the tenants used, at most once in an interval and only if some of it was used
-     * without the primary since the last time.
+     * Logs what the tenants used, at most once in an interval and only if some of it was refused or
+     * used without the primary since the last time.
      */
     void logUsage(long nowMs) {
         if (nowMs < nextUsageLogAtMs) {
             return;
         }
         nextUsageLogAtMs = nowMs + USAGE_LOG_INTERVAL_MS;
-        double unitsWithoutPrimary = 0;
+        double unitsNotGrantedInTime = 0;
         for (TenantQuotaState state : tenants.values()) {
-            unitsWithoutPrimary += state.usage.unitsWithoutPrimary();
+            unitsNotGrantedInTime += state.usage.unitsNotGrantedInTime();
         }
-        if (unitsWithoutPrimary != loggedUnitsWithoutPrimary) {
-            loggedUnitsWithoutPrimary = unitsWithoutPrimary;
+        if (unitsNotGrantedInTime != loggedUnitsNotGrantedInTime) {
+            loggedUnitsNotGrantedInTime = unitsNotGrantedInTime;
             LOG.info("quota units used: {}", usage());
         }
     }
--- a/src/test/java/myrtleladder/dataplane/QuotaFleet.java
+++ b/src/test/java/myrtleladder/dataplane/QuotaFleet.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import myrtleladder.configuration.Configuration;
 import myrtleladder.configuration.Tenant;
@@ -24,6 +25,7 @@
     private static final long LINK_DELAY_MS = 1;
     private static final long TICK_INTERVAL_MS = 50;
     private static final long POLL_INTERVAL_MS = 500;
+    private static final long POLL_TIMEOUT_MS = 750;
     private static final long DISCOVERY_SPREAD_MS = 800;
     private static final long STARTUP_MS = 5_000;
     private static final String TENANT = "t";
@@ -37,6 +39,7 @@
     private Tenant tenant;
     private QuotaPrimary primary;
     private long epoch;
+    private long stalledUntilMs;
     private double demandRatio;
     private double demandRatePerS;
     private int refused;
@@ -81,29 +84,28 @@
                 callback.accept(null);
                 return;
             }
-            if (isLost(link.requestLoss)) {
-                clock.schedule(timeoutMs, () -> callback.accept(null));
-                return;
+            Consumer<Message> firstOutcome = onlyFirst(callback);
+            clock.schedule(timeoutMs, () -> firstOutcome.accept(null));
+            if (!isLost(link.requestLoss)) {
+                whenHandled(() -> respond(asked, request, firstOutcome));
             }
-            clock.schedule(LINK_DELAY_MS, () -> respond(asked, request, timeoutMs, callback));
         }
 
-        private void respond(
-                QuotaPrimary asked,
-                QuotaRequest request,
-                long timeoutMs,
-                Consumer<Message> callback) {
-            long remainingMs = timeoutMs - LINK_DELAY_MS;
+        /** Runs a task when the primary handles a message that is sent now. */
+        private void whenHandled(Runnable task) {
+            long handledAtMs = Math.max(clock.now() + LINK_DELAY_MS, stalledUntilMs);
+            clock.schedule(handledAtMs - clock.now(), task);
+        }
+
+        private void respond(QuotaPrimary asked, QuotaRequest request, Consumer<Message> callback) {
             if (asked != primary) {
-                clock.schedule(remainingMs, () -> callback.accept(null));
                 return;
             }
             QuotaResponse response = asked.grant(request, clock.now());
-            long delayMs = LINK_DELAY_MS + link.responseDelayMs;
-            boolean isReceived = !isLost(link.responseLoss) && delayMs <= remainingMs;
-            clock.schedule(
-                    isReceived ? delayMs : remainingMs,
-                    () -> callback.accept(isReceived ? response : null));
+            if (!isLost(link.responseLoss)) {
+                clock.schedule(
+                        LINK_DELAY_MS + link.responseDelayMs, () -> callback.accept(response));
+            }
         }
 
         private boolean isLost(double share) {
@@ -115,10 +117,19 @@
             if (followed == null || followed != primary || link.isCut) {
                 return;
             }
-            pollPrimary();
+            long sentAtMs = clock.now();
+            whenHandled(
+                    () -> {
+                        if (clock.now() - sentAtMs <= POLL_TIMEOUT_MS) {
+                            pollPrimary();
+                        }
+                    });
         }
 
         void pollPrimary() {
+            if (followed == null || followed != primary) {
+                return;
+            }
             count = followed.poll(name, count, clock.now());
             client.recordPollResponse(followed.epoch(), clock.now());
             client.setBalancerCount(count, followed.isCountComplete(clock.now()));
@@ -194,6 +205,22 @@
         failOver(gapMs);
     }
 
+    /** Stalls the primary: it handles nothing for a time, and then all that has arrived. */
+    void stallPrimary(long durationMs) {
+        stalledUntilMs = clock.now() + durationMs;
+        QuotaPrimary stalled = primary;
+        clock.schedule(durationMs, () -> stalled.tick(clock.now()));
+    }
+
+    private static Consumer<Message> onlyFirst(Consumer<Message> callback) {
+        AtomicBoolean isCompleted = new AtomicBoolean();
+        return message -> {
+            if (isCompleted.compareAndSet(false, true)) {
+                callback.accept(message);
+            }
+        };
+    }
+
     private void discoverLater(Balancer balancer) {
         QuotaPrimary discovered = primary;
         clock.schedule(
@@ -207,7 +234,7 @@
     private void tick() {
         clock.schedule(TICK_INTERVAL_MS, this::tick);
         balancers.forEach(balancer -> balancer.client.advanceClock(clock.now()));
-        if (primary != null) {
+        if (primary != null && clock.now() >= stalledUntilMs) {
             primary.tick(clock.now());
         }
     }
--- a/src/test/java/myrtleladder/dataplane/QuotaLimitTest.java
+++ b/src/test/java/myrtleladder/dataplane/QuotaLimitTest.java
@@ -151,6 +151,32 @@
         }
     }
 
+    private static void stallAgainAndAgain(
+            QuotaFleet fleet, double demandRatio, long stallMs, long periodMs) {
+        for (long playedMs = 0; playedMs < 30_000; playedMs += periodMs) {
+            fleet.stallPrimary(stallMs);
+            fleet.run(periodMs, demandRatio);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "63,60000,300,1000",
+        "63,60000,700,2000",
+        "63,200000,1000,2000",
+        "63,500000,1500,4000",
+        "63,500000,2500,8000",
+        "440,500000,700,2000",
+        "440,500000,2000,4000"
+    })
+    void limitHoldsWhileThePrimaryStallsAgainAndAgain(
+            int balancers, double ratePerS, long stallMs, long periodMs) {
+        assertLimitHolds(
+                balancers,
+                ratePerS,
+                (fleet, demandRatio) -> stallAgainAndAgain(fleet, demandRatio, stallMs, periodMs));
+    }
+
     @ParameterizedTest
     @CsvSource({"200000", "500000"})
     void tenantBelowItsLimitIsNotRefusedInCalmTimes(double ratePerS) {
--- a/src/test/java/myrtleladder/replication/ReplicaTest.java
+++ b/src/test/java/myrtleladder/replication/ReplicaTest.java
@@ -297,8 +297,7 @@
 
     @Test
     void restartedSeedCannotReplaceAMemberThatMayKnowOfAnInstalledView() {
-        VirtualCluster cluster =
-                VirtualCluster.builder().randomSeed(RANDOM_SEED).nodes(3).start();
+        VirtualCluster cluster = VirtualCluster.builder().randomSeed(RANDOM_SEED).nodes(3).start();
         cluster.isolate(cluster.node(2).address);
         cluster.clock.run(STARTUP_MS);
         commitChange(cluster);
