End a process that can't listen, instead of keeping one that serves nobody

What callers would see: a node that neither answers nor is started again.

Cause: the servers are created by a task on the event loop, and an exception of a task is logged only.

--- a/src/main/java/myrtleladder/controlplane/ControlNode.java
+++ b/src/main/java/myrtleladder/controlplane/ControlNode.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.UUID;
 import myrtleladder.eventloop.EventLoop;
+import myrtleladder.eventloop.NetworkException;
 import myrtleladder.http.HttpServer;
 import myrtleladder.process.Address;
 import myrtleladder.process.NodeSettings;
@@ -34,6 +35,7 @@
      *
      * @param loop an event loop that has not been started
      * @return the replica, which may only be used on the loop
+     * @throws NetworkException if an address can't be bound
      */
     static Replica start(
             NodeSettings settings, EventLoop loop, StateStore store, TallyLog tallyLog) {
@@ -65,7 +67,7 @@
                         peers,
                         plane,
                         plane::instances);
-        loop.execute(() -> startServers(settings, loop, plane, replica));
+        loop.executeAndWait(() -> startServers(settings, loop, plane, replica));
         return replica;
     }
 
--- a/src/main/java/myrtleladder/dataplane/Main.java
+++ b/src/main/java/myrtleladder/dataplane/Main.java
@@ -72,7 +72,7 @@
             throws InterruptedException, ReflectiveOperationException {
         Main main = new Main(settings, new EventLoop());
         main.loop.start();
-        main.loop.execute(main::start);
+        main.loop.executeAndWait(main::start);
         Signals.setHandler("TERM", () -> main.loop.execute(main::drain));
         Signals.setHandler("HUP", () -> main.loop.execute(main::reloadSeeds));
         main.terminated.await();
--- a/src/main/java/myrtleladder/eventloop/EventLoop.java
+++ b/src/main/java/myrtleladder/eventloop/EventLoop.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import myrtleladder.result.ResultCode;
@@ -23,9 +25,9 @@
  * The single thread of a process that runs socket events, timers and tasks. Timers run between two
  * selections, so that they need no thread and no wake-up of their own.
  *
- * <p>Threading: {@link #execute} and {@link #stop} may be called on any thread; {@link #schedule}
- * and all that the loop calls back run on the loop. An unchecked exception or an error of a task or
- * timer is logged and does not end the loop.
+ * <p>Threading: {@link #execute}, {@link #executeAndWait} and {@link #stop} may be called on any
+ * thread; {@link #schedule} and all that the loop calls back run on the loop. An unchecked
+ * exception or an error of a task or timer is logged and does not end the loop.
  */
 public final class EventLoop implements Scheduler {
     private static final Logger LOG = LogManager.getLogger(EventLoop.class);
@@ -114,6 +116,22 @@
         }
     }
 
+    /**
+     * Runs a task on the loop and waits for it. May be called on any thread but that of the loop.
+     *
+     * @throws RuntimeException what the task throws
+     */
+    public void executeAndWait(Runnable task) {
+        try {
+            CompletableFuture.runAsync(task, this::execute).join();
+        } catch (CompletionException e) {
+            if (e.getCause() instanceof RuntimeException failure) {
+                throw failure;
+            }
+            throw e;
+        }
+    }
+
     /** Returns the transport on which connections of this loop are opened. */
     public TCPNIOTransport transport() {
         return transport;
