Name the class archive's run alike in both programs, take the usage log out of quotas

Change: controlplane.Warmup is ClassArchiveTrainingRun as in the data plane, and a port that is not free is a NetworkException there; QuotaUsageLog holds what TenantQuotaClient logged; removeJoin, preferredOnly. No behaviour changes but the logger's name.

--- a/src/main/java/myrtleladder/controlplane/Warmup.java
+++ b/src/main/java/myrtleladder/controlplane/ClassArchiveTrainingRun.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import myrtleladder.eventloop.EventLoop;
+import myrtleladder.eventloop.NetworkException;
 import myrtleladder.http.Headers;
 import myrtleladder.http.RequestHead;
 import myrtleladder.process.Address;
@@ -31,13 +32,11 @@
 import myrtleladder.rpc.PeerClient;
 
 /**
- * Training run for class-data sharing: starts a control node on the loopback interface, sends it
- * one request of each kind and ends. The build uses it to archive the classes that a start needs,
- * because loading them from the archive takes a fraction of the processor time.
- *
- * <p>The subcommand is {@code rehearse}.
+ * Runs a control node on the loopback interface, sends it one request of each kind and ends. The
+ * build uses this run to record the class data sharing (CDS) archive of the control plane, because
+ * loading classes from the archive takes a fraction of the processor time.
  */
-final class Warmup {
+final class ClassArchiveTrainingRun {
     /** Time after which the run counts as failed. */
     private static final long TIMEOUT_MS = 10_000;
 
@@ -86,7 +85,7 @@
     private final StateStore store;
     private final TallyLog tallyLog;
 
-    private Warmup(StateStore store, TallyLog tallyLog) {
+    private ClassArchiveTrainingRun(StateStore store, TallyLog tallyLog) {
         this.store = store;
         this.tallyLog = tallyLog;
     }
@@ -95,16 +94,17 @@
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
             return socket.getLocalPort();
         } catch (IOException e) {
-            throw new StorageException(ResultCode.NO_SOCKET, "no free port", e);
+            throw new NetworkException(ResultCode.NO_SOCKET, "no free port", e);
         }
     }
 
     /** Performs the run. Returns whether it finished in time. */
     static boolean run() throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("rehearsal");
-        Warmup warmup = new Warmup(new StateStore(folder), new TallyLog(folder));
-        warmup.start();
-        return warmup.done.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        ClassArchiveTrainingRun run =
+                new ClassArchiveTrainingRun(new StateStore(folder), new TallyLog(folder));
+        run.start();
+        return run.done.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
     private void start() {
--- a/src/main/java/myrtleladder/controlplane/ControlCommand.java
+++ b/src/main/java/myrtleladder/controlplane/ControlCommand.java
@@ -43,7 +43,7 @@
 
     @Override
     public boolean warmUp() throws IOException, InterruptedException {
-        return Warmup.run();
+        return ClassArchiveTrainingRun.run();
     }
 
     /** Prints the content of each state file; fails if none is readable. */
--- a/src/main/java/myrtleladder/dataplane/DataPlane.java
+++ b/src/main/java/myrtleladder/dataplane/DataPlane.java
@@ -22,6 +22,7 @@
     private final ConnectionPool connections;
     private final RetryBudget retryBudget;
     private final TenantQuotaClient quotas;
+    private final QuotaUsageLog quotaUsageLog;
     private final WarmupContext warmupContext;
     private final UpstreamDirectory directory;
     private final FleetLoadSync fleetLoads;
@@ -57,6 +58,7 @@
         this.connections = connections;
         this.retryBudget = retryBudget;
         this.quotas = new TenantQuotaClient(allocator, seed);
+        this.quotaUsageLog = new QuotaUsageLog(quotas);
         this.warmupContext = new WarmupContext(warmupSettings);
         this.directory =
                 new UpstreamDirectory(
@@ -86,7 +88,7 @@
             picker.updateWeights(nowMs);
             warmupContext.counters().logStates(directory.all(), nowMs);
             connections.closeExpired();
-            quotas.logUsage(nowMs);
+            quotaUsageLog.logIfDue(nowMs);
         }
     }
 
--- a/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
+++ b/src/main/java/myrtleladder/dataplane/TenantQuotaClient.java
@@ -14,8 +14,6 @@
 import myrtleladder.protocol.QuotaFallbackPolicy;
 import myrtleladder.protocol.QuotaRequest;
 import myrtleladder.protocol.QuotaResponse;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * Acquires quota units of tenants from their token buckets at the primary. While the primary does
@@ -40,9 +38,7 @@
     /** Units that may be unreported while the primary answers polls, in seconds of the share. */
     private static final double MAX_UNREPORTED_S = 0.25;
 
-    private static final long USAGE_LOG_INTERVAL_MS = 10_000;
     private static final long NEVER_MS = Long.MAX_VALUE;
-    private static final Logger LOG = LogManager.getLogger(TenantQuotaClient.class);
 
     /** Sends quota requests to the primary. */
     interface QuotaAllocator {
@@ -71,8 +67,6 @@
     private long primaryUnavailableSinceMs = NEVER_MS;
     private long nextPrimaryRequestAtMs;
     private long clockMs;
-    private long nextUsageLogAtMs;
-    private double loggedUnitsNotGrantedInTime;
 
     /** Creates a client; the seed determines the random initial debts of fallback buckets. */
     TenantQuotaClient(QuotaAllocator allocator, long seed) {
@@ -322,25 +316,6 @@
         allocator.request(refund, RESPONSE_TIMEOUT_MS, response -> {});
     }
 
-    /**
-     * Logs what the tenants used, at most once in an interval and only if some of it was refused or
-     * used without the primary since the last time.
-     */
-    void logUsage(long nowMs) {
-        if (nowMs < nextUsageLogAtMs) {
-            return;
-        }
-        nextUsageLogAtMs = nowMs + USAGE_LOG_INTERVAL_MS;
-        double unitsNotGrantedInTime = 0;
-        for (TenantQuotaState state : tenants.values()) {
-            unitsNotGrantedInTime += state.usage.unitsNotGrantedInTime();
-        }
-        if (unitsNotGrantedInTime != loggedUnitsNotGrantedInTime) {
-            loggedUnitsNotGrantedInTime = unitsNotGrantedInTime;
-            LOG.info("quota units used: {}", usage());
-        }
-    }
-
     /** What each tenant used at this balancer. */
     Map<String, QuotaUsage> usage() {
         Map<String, QuotaUsage> usageByTenant = new TreeMap<>();
--- a/src/main/java/myrtleladder/replication/CandidateState.java
+++ b/src/main/java/myrtleladder/replication/CandidateState.java
@@ -304,7 +304,7 @@
         enterPhase(Phase.INSTALLING);
         for (Member joiner : plan.joining()) {
             if (!promises.includes(joiner)) {
-                context.membershipRequests().withdrawJoin(joiner);
+                context.membershipRequests().removeJoin(joiner);
             }
         }
         new ViewInstaller(context, quorum, this, view, promises).start();
--- a/src/main/java/myrtleladder/replication/MembershipRequests.java
+++ b/src/main/java/myrtleladder/replication/MembershipRequests.java
@@ -27,7 +27,7 @@
     }
 
     /** Removes the join request of a node that does not respond. The node may request again. */
-    void withdrawJoin(Member member) {
+    void removeJoin(Member member) {
         joinRequestedAtMs.remove(member);
     }
 
--- a/src/main/java/myrtleladder/replication/ReplicaSelection.java
+++ b/src/main/java/myrtleladder/replication/ReplicaSelection.java
@@ -31,13 +31,13 @@
         List<Member> replicas = new ArrayList<>();
         replicas.add(context.self());
         for (Member member : baseReplicas) {
-            addIfEligible(replicas, member, group, false);
+            addIfEligible(replicas, member, group, true);
         }
         for (Member member : group) {
-            addIfEligible(replicas, member, group, false);
+            addIfEligible(replicas, member, group, true);
         }
         for (Member member : group) {
-            addIfEligible(replicas, member, group, true);
+            addIfEligible(replicas, member, group, false);
         }
         int count = Math.min(context.options().replicaCount(), group.size());
         if (replicas.size() < count) {
@@ -47,11 +47,11 @@
     }
 
     private void addIfEligible(
-            List<Member> replicas, Member member, List<Member> group, boolean allowNonPreferred) {
+            List<Member> replicas, Member member, List<Member> group, boolean preferredOnly) {
         boolean eligible =
                 promisedMembers.contains(member)
                         && group.contains(member)
-                        && (allowNonPreferred || context.isPreferredReplica(member));
+                        && (!preferredOnly || context.isPreferredReplica(member));
         if (eligible && !replicas.contains(member)) {
             replicas.add(member);
         }
--- a/src/test/java/myrtleladder/replication/MembershipRequestsTest.java
+++ b/src/test/java/myrtleladder/replication/MembershipRequestsTest.java
@@ -47,7 +47,7 @@
     @Test
     void withdrawnJoinRequestMayBeRepeated() {
         requests.recordJoin(member, START_MS);
-        requests.withdrawJoin(member);
+        requests.removeJoin(member);
         assertEquals(Set.of(), requests.joining());
         requests.recordJoin(member, START_MS + 1);
         assertEquals(Set.of(member), requests.joining());
