End balancers that fail to start, and log quota usage only without the primary's answer

Also: the usage line was written each 10 s by every balancer while any tenant was over its limit, formatted with 7 x 16 numbers by String.format. It is written again only when the primary did not answer in time, and formatted without String.format.

--- a/src/main/java/myrtleladder/dataplane/Main.java
+++ b/src/main/java/myrtleladder/dataplane/Main.java
@@ -57,6 +57,9 @@
     private boolean isDraining;
     private long idleSinceMs;
 
+    /** Why the components could not be started, null if they could. */
+    private RuntimeException startFailure;
+
     private Main(NodeSettings settings, EventLoop loop) {
         this.settings = settings;
         this.loop = loop;
@@ -67,15 +70,22 @@
         System.exit(DataCommand.run(arguments));
     }
 
-    /** Serves until SIGTERM, drains and terminates the process; does not return normally. */
+    /**
+     * Serves until SIGTERM, drains and terminates the process; does not return normally.
+     *
+     * @throws RuntimeException if the components cannot be started
+     */
     static void serve(NodeSettings settings)
             throws InterruptedException, ReflectiveOperationException {
         Main main = new Main(settings, new EventLoop());
         main.loop.start();
-        main.loop.executeAndWait(main::start);
+        main.loop.execute(main::startOrTerminate);
         Signals.setHandler("TERM", () -> main.loop.execute(main::drain));
         Signals.setHandler("HUP", () -> main.loop.execute(main::reloadSeeds));
         main.terminated.await();
+        if (main.startFailure != null) {
+            throw main.startFailure;
+        }
         Runtime.getRuntime().halt(0);
     }
 
@@ -84,6 +94,15 @@
         new Main(settings, loop).start();
     }
 
+    private void startOrTerminate() {
+        try {
+            start();
+        } catch (RuntimeException e) {
+            startFailure = e;
+            terminated.countDown();
+        }
+    }
+
     private void start() {
         NodeSettings.Bounds bounds = settings.bounds();
         dataPlane =
--- a/src/main/java/myrtleladder/dataplane/QuotaUsage.java
+++ b/src/main/java/myrtleladder/dataplane/QuotaUsage.java
@@ -1,7 +1,5 @@
 package myrtleladder.dataplane;
 
-import java.util.Locale;
-
 /**
  * Counts the quota units that requests of one tenant used at this balancer, by their source, and
  * those that it refused, by their reason. Confined to the event loop.
@@ -50,28 +48,27 @@
         unknownShareUnits += units;
     }
 
-    /** Units that were refused, used without the primary or granted too late. */
-    double unitsNotGrantedInTime() {
-        return fallbackUnits
-                + lateUnits
-                + emptyBucketUnits
-                + exhaustedFallbackUnits
-                + unknownShareUnits;
+    /** Units that were used, refused or granted too late because the primary did not answer. */
+    double unitsWithoutPrimary() {
+        return fallbackUnits + lateUnits + exhaustedFallbackUnits + unknownShareUnits;
     }
 
     /** All counts as name=value pairs. */
     @Override
     public String toString() {
-        return String.format(
-                Locale.ROOT,
-                "granted=%.0f fallback=%.0f overdraft=%.0f late=%.0f"
-                        + " refused_empty=%.0f refused_fallback=%.0f refused_no_share=%.0f",
-                grantedUnits,
-                fallbackUnits,
-                fallbackUnits - fallbackAccruedUnits,
-                lateUnits,
-                emptyBucketUnits,
-                exhaustedFallbackUnits,
-                unknownShareUnits);
+        return "granted="
+                + Math.round(grantedUnits)
+                + " fallback="
+                + Math.round(fallbackUnits)
+                + " overdraft="
+                + Math.round(fallbackUnits - fallbackAccruedUnits)
+                + " late="
+                + Math.round(lateUnits)
+                + " refused_empty="
+                + Math.round(emptyBucketUnits)
+                + " refused_fallback="
+                + Math.round(exhaustedFallbackUnits)
+                + " refused_no_share="
+                + Math.round(unknownShareUnits);
     }
 }
--- a/src/main/java/myrtleladder/dataplane/QuotaUsageLog.java
+++ b/src/main/java/myrtleladder/dataplane/QuotaUsageLog.java
@@ -6,7 +6,7 @@
 
 /**
  * Logs the quota units that tenants used at this balancer, at most once in an interval and only if
- * some of them were refused or used without the primary since the last time. Confined to the event
+ * the primary did not answer in time for some of them since the last time. Confined to the event
  * loop.
  */
 final class QuotaUsageLog {
@@ -29,9 +29,7 @@
         nextAtMs = nowMs + INTERVAL_MS;
         Map<String, QuotaUsage> usageByTenant = quotas.usage();
         double units =
-                usageByTenant.values().stream()
-                        .mapToDouble(QuotaUsage::unitsNotGrantedInTime)
-                        .sum();
+                usageByTenant.values().stream().mapToDouble(QuotaUsage::unitsWithoutPrimary).sum();
         if (units != loggedUnits) {
             loggedUnits = units;
             LOG.info("quota units used: {}", usageByTenant);
--- a/src/main/java/myrtleladder/process/ProgramCommand.java
+++ b/src/main/java/myrtleladder/process/ProgramCommand.java
@@ -23,7 +23,7 @@
     /** Exit code of a command that succeeded. */
     public static final int SUCCESS_EXIT_CODE = 0;
 
-    /** Exit code of a command that failed with a numbered result. */
+    /** Exit code of a command that failed. */
     public static final int FAILURE_EXIT_CODE = 1;
 
     /** Exit code of a command line that is wrong. */
@@ -123,6 +123,10 @@
         } catch (ResultException e) {
             System.err.println(e.getMessage());
             return FAILURE_EXIT_CODE;
+        } catch (RuntimeException e) {
+            // Otherwise threads of the program would keep alive a process that serves nobody.
+            e.printStackTrace();
+            return FAILURE_EXIT_CODE;
         }
     }
 
--- a/src/test/java/myrtleladder/process/ProgramCommandTest.java
+++ b/src/test/java/myrtleladder/process/ProgramCommandTest.java
@@ -21,6 +21,7 @@
         return switch (words.get(0)) {
             case "done" -> 0;
             case "refused" -> throw new SettingsException(ResultCode.SETTINGS_VALUE, "a field");
+            case "defect" -> throw new IllegalStateException("not expected");
             default -> ProgramCommand.unknown(words.get(0));
         };
     }
@@ -68,6 +69,7 @@
         assertEquals(0, run("done"));
         assertEquals(0, run("--help"));
         assertEquals(1, run("refused"));
+        assertEquals(1, run("defect"));
         assertEquals(2, run("other"));
         assertEquals(2, run("--nonsense"));
         assertEquals(2, run());
