Bound what the clients of a process may use together, at every port

Callers saw: a balancer or a control process ended with 3 (Java heap space) beside clients with incomplete heads, large, incomplete, chunked or pipelined bodies or unread answers, and exceeded max_fds beside silent ones; for seconds nobody was served.

Cause: each limit was one connection's, nothing added them up. Further: the body was copied whole for each piece; a body over the limit was read to its end; max_header_bytes was not used (64 KiB stood in); a request behind an unanswered one had no time limit; control, internal and readiness ports had neither body nor time limits of their own, the frontend none before the first configuration; unread answers were unbounded; connections were not counted.

Change: ServerResources, one for each process, counts memory and connections of all servers. What holds most for longest without finishing gives way: 503 with Retry-After, or closed if it does not read. Requests over a limit are refused from their head (413, 431), the rest is discarded and the connection lingers, so it is never read as a request. RequestBody grows by doubling. Receive and idle timeouts at all ports.

--- a/src/main/java/myrtleladder/configuration/ClientLimits.java
+++ b/src/main/java/myrtleladder/configuration/ClientLimits.java
@@ -17,14 +17,18 @@
     private static final long DEFAULT_HEADER_TIMEOUT_MS = 3_000;
     private static final long DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
-    /** Parses the optional {@code limits} object of a configuration. */
-    static ClientLimits parse(JsonObject root) {
-        if (!root.has("limits")) {
-            return new ClientLimits(
+    /** The limits of a configuration that names none, and of a process without configuration. */
+    public static final ClientLimits DEFAULT =
+            new ClientLimits(
                     DEFAULT_MAX_HEADER_BYTES,
                     DEFAULT_MAX_BODY_BYTES,
                     DEFAULT_HEADER_TIMEOUT_MS,
                     DEFAULT_IDLE_TIMEOUT_MS);
+
+    /** Parses the optional {@code limits} object of a configuration. */
+    static ClientLimits parse(JsonObject root) {
+        if (!root.has("limits")) {
+            return DEFAULT;
         }
         JsonObject json = root.getObject("limits");
         return new ClientLimits(
--- a/src/main/java/myrtleladder/controlplane/ControlNode.java
+++ b/src/main/java/myrtleladder/controlplane/ControlNode.java
@@ -6,6 +6,8 @@
 import myrtleladder.eventloop.EventLoop;
 import myrtleladder.eventloop.NetworkException;
 import myrtleladder.http.HttpServer;
+import myrtleladder.http.RequestLimits;
+import myrtleladder.http.ServerResources;
 import myrtleladder.process.Address;
 import myrtleladder.process.NodeSettings;
 import myrtleladder.protocol.Member;
@@ -27,6 +29,12 @@
     /** Stands for the store identifier of a member that has not answered yet. */
     private static final String UNKNOWN_STORE_ID = "";
 
+    /** Longest time in which a request of an operator or an upstream must arrive. */
+    private static final long CONTROL_RECEIVE_TIMEOUT_MS = 10_000;
+
+    private static final RequestLimits CONTROL_LIMITS =
+            RequestLimits.DEFAULT.withReceiveTimeoutMs(CONTROL_RECEIVE_TIMEOUT_MS);
+
     private ControlNode() {}
 
     /**
@@ -160,10 +168,17 @@
     private static void startServers(
             NodeSettings settings, EventLoop loop, ControlPlane plane, Replica replica) {
         plane.attach(replica);
+        ServerResources resources = new ServerResources(loop, settings.limits().descriptors());
         Address internal = settings.internal().listen();
-        new MessageServer(loop, internal.host(), internal.port(), plane::receive);
+        new MessageServer(loop, internal.host(), internal.port(), resources, plane::receive);
         Address control = settings.control();
-        new HttpServer(loop, control.host(), control.port(), plane::handle);
+        new HttpServer(
+                loop,
+                control.host(),
+                control.port(),
+                () -> CONTROL_LIMITS,
+                resources,
+                plane::handle);
         replica.start();
     }
 }
--- a/src/main/java/myrtleladder/dataplane/Main.java
+++ b/src/main/java/myrtleladder/dataplane/Main.java
@@ -8,7 +8,9 @@
 import myrtleladder.heartbeat.HeartbeatAgent;
 import myrtleladder.http.Headers;
 import myrtleladder.http.HttpServer;
+import myrtleladder.http.RequestLimits;
 import myrtleladder.http.ServerExchange;
+import myrtleladder.http.ServerResources;
 import myrtleladder.process.Address;
 import myrtleladder.process.NodeSettings;
 import myrtleladder.protocol.AcknowledgeResponse;
@@ -29,9 +31,6 @@
     private static final Logger LOG = LogManager.getLogger(Main.class);
     private static final byte[] NO_BYTES = {};
 
-    /** Interval at which idle and slow client connections are checked. */
-    private static final long IDLE_CHECK_INTERVAL_MS = 500;
-
     /** How long after its announced timeout a client connection is closed. */
     private static final long CLIENT_TIMEOUT_MARGIN_MS = 1_000;
 
@@ -133,21 +132,35 @@
         startServers(heartbeatAgent);
         dataPlane.start();
         poller.start();
-        checkIdleConnections();
         LOG.info("balancer {} listens at {}", settings.nodeName(), settings.frontend());
     }
 
     private void startServers(HeartbeatAgent heartbeatAgent) {
+        ServerResources resources = new ServerResources(loop, settings.limits().descriptors());
         new MessageServer(
                 loop,
                 settings.internal().listen().host(),
                 settings.internal().listen().port(),
+                resources,
                 (message, callback) -> handleMessage(heartbeatAgent, message, callback));
         heartbeatAgent.start();
         Address readiness = settings.readiness();
-        new HttpServer(loop, readiness.host(), readiness.port(), this::handleReadinessProbe);
+        new HttpServer(
+                loop,
+                readiness.host(),
+                readiness.port(),
+                () -> RequestLimits.DEFAULT,
+                resources,
+                this::handleReadinessProbe);
         Address clients = settings.frontend();
-        frontend = new HttpServer(loop, clients.host(), clients.port(), dataPlane.router()::handle);
+        frontend =
+                new HttpServer(
+                        loop,
+                        clients.host(),
+                        clients.port(),
+                        this::frontendLimits,
+                        resources,
+                        dataPlane.router()::handle);
     }
 
     private static void handleMessage(
@@ -181,19 +194,26 @@
         exchange.respond(isReady ? 200 : 503, new Headers(), NO_BYTES);
     }
 
-    private void checkIdleConnections() {
-        loop.schedule(IDLE_CHECK_INTERVAL_MS, this::checkIdleConnections);
+    /**
+     * Returns the limits of the current configuration. A client may reuse an idle connection until
+     * the timeout that it was sent last, which can be longer than the current one; so the longest
+     * timeout so far applies.
+     */
+    private RequestLimits frontendLimits() {
         if (dataPlane.configuration() == null) {
-            return;
+            return requestLimits(ClientLimits.DEFAULT, ClientLimits.DEFAULT.idleTimeoutMs());
         }
         ClientLimits limits = dataPlane.configuration().limits();
-        // A client may reuse an idle connection until the timeout that it was sent last, which can
-        // be longer than the current one; so the longest timeout so far applies.
         longestIdleTimeoutMs = Math.max(longestIdleTimeoutMs, limits.idleTimeoutMs());
-        frontend.limitBody(limits.maxBodyBytes());
-        frontend.closeIdle(
-                longestIdleTimeoutMs + CLIENT_TIMEOUT_MARGIN_MS,
-                limits.headerTimeoutMs() + CLIENT_TIMEOUT_MARGIN_MS);
+        return requestLimits(limits, longestIdleTimeoutMs);
+    }
+
+    private static RequestLimits requestLimits(ClientLimits limits, long idleTimeoutMs) {
+        return new RequestLimits(
+                limits.maxHeaderBytes(),
+                limits.maxBodyBytes(),
+                limits.headerTimeoutMs() + CLIENT_TIMEOUT_MARGIN_MS,
+                idleTimeoutMs + CLIENT_TIMEOUT_MARGIN_MS);
     }
 
     private void drain() {
--- a/src/main/java/myrtleladder/dataplane/ResponseAssembler.java
+++ b/src/main/java/myrtleladder/dataplane/ResponseAssembler.java
@@ -18,6 +18,9 @@
     /** Maximum size of a buffered body. */
     private static final int MAX_BUFFERED_BYTES = 4 * 1_024 * 1_024;
 
+    /** The growing buffer and the array that is sent. */
+    private static final int COPIES_OF_BUFFERED_BODY = 2;
+
     private final ServerExchange client;
     private ResponseHead head;
     private long weightsVersion = InstanceRecord.UNKNOWN_WEIGHTS_VERSION;
@@ -120,8 +123,14 @@
         client.abort();
     }
 
-    /** Buffers a part of a body; returns false if the body exceeds the size limit. */
+    /**
+     * Buffers a part of a body; returns false if the body exceeds the size limit or there is no
+     * memory for it.
+     */
     boolean bufferBody(byte[] bytes) {
+        if (!client.reserveMemory((long) COPIES_OF_BUFFERED_BODY * bytes.length)) {
+            return false;
+        }
         if (buffer == null) {
             buffer = new ByteArrayOutputStream(Math.max(32, bytes.length));
         }
--- a/src/main/java/myrtleladder/http/HttpExchange.java
+++ b/src/main/java/myrtleladder/http/HttpExchange.java
@@ -14,8 +14,7 @@
 
 /** A complete request and its response on a connection of Grizzly. Confined to the event loop. */
 final class HttpExchange implements ServerExchange {
-    static final byte[] NO_BYTES = {};
-
+    private static final byte[] NO_BYTES = {};
     private static final int INTERNAL_SERVER_ERROR = 500;
 
     private enum State {
@@ -28,17 +27,25 @@
     private final HttpRequestPacket request;
     private final RequestHead head;
     private final byte[] body;
-    private final boolean tooLarge;
+    private final int refusedStatus;
     private final boolean keepAlive;
+    private long heldBytes;
     private State state = State.UNANSWERED;
     private HttpResponsePacket response;
     private Runnable onGone;
 
-    HttpExchange(ServerConnection owner, HttpRequestPacket request, byte[] body, boolean tooLarge) {
+    /**
+     * Creates an exchange for a request.
+     *
+     * @param refusedStatus the status with which the connection answers instead of the handler, 0
+     *     if the handler does
+     */
+    HttpExchange(
+            ServerConnection owner, HttpRequestPacket request, byte[] body, int refusedStatus) {
         this.owner = owner;
         this.request = request;
         this.body = body;
-        this.tooLarge = tooLarge;
+        this.refusedStatus = refusedStatus;
         String query = request.getQueryString();
         String path = request.getRequestURI();
         Headers headers = Headers.copyOf(request.getHeaders());
@@ -53,8 +60,22 @@
         this.keepAlive = !closeRequested && !request.isUpgrade();
     }
 
-    boolean isTooLarge() {
-        return tooLarge;
+    int refusedStatus() {
+        return refusedStatus;
+    }
+
+    /** Returns an exchange for the same request, without its body, that is refused. */
+    HttpExchange refusedWith(int status) {
+        return new HttpExchange(owner, request, NO_BYTES, status);
+    }
+
+    /** Returns the memory reserved for the request and the response. */
+    long heldBytes() {
+        return heldBytes;
+    }
+
+    void setHeldBytes(long bytes) {
+        heldBytes = bytes;
     }
 
     /**
@@ -82,6 +103,11 @@
         return String.valueOf(owner.connection().getPeerAddress());
     }
 
+    @Override
+    public boolean reserveMemory(long bytes) {
+        return owner.reserveFor(this, bytes);
+    }
+
     @Override
     public void respond(int status, Headers headers, byte[] answer) {
         if (state != State.UNANSWERED) {
@@ -186,11 +212,15 @@
      * Returns whether the connection closes although the head, sent before, did not announce it.
      */
     private boolean mustClose() {
-        return owner.server().isClosing() && !owner.hasPipelined();
+        return isLastOfConnection() || (owner.server().isClosing() && !owner.hasPipelined());
     }
 
     private boolean canKeepAlive() {
-        return keepAlive && !owner.server().isClosing();
+        return keepAlive && !owner.server().isClosing() && !isLastOfConnection();
+    }
+
+    private boolean isLastOfConnection() {
+        return owner.isInputClosed() && !owner.hasPipelined();
     }
 
     /** Builds a head; null if the library refuses it, as with too many fields. */
@@ -233,15 +263,16 @@
         } else {
             owner.connection().write(packet);
         }
+        owner.onWritten();
     }
 
-    private static <L> void writeAndClose(Connection<L> connection, HttpPacket packet) {
+    private <L> void writeAndClose(Connection<L> connection, HttpPacket packet) {
         connection.write(
                 packet,
                 new EmptyCompletionHandler<WriteResult<HttpPacket, L>>() {
                     @Override
                     public void completed(WriteResult<HttpPacket, L> result) {
-                        connection.closeSilently();
+                        owner.onLastAnswerWritten();
                     }
                 });
     }
--- a/src/main/java/myrtleladder/http/HttpServer.java
+++ b/src/main/java/myrtleladder/http/HttpServer.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import myrtleladder.eventloop.EventLoop;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -16,14 +18,16 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
 
 /**
  * An HTTP/1.1 server (RFC 9112) at one address. Passes each complete request to the handler as a
- * {@link ServerExchange}; answers malformed ones with 400, those with too large a body with 413,
- * and those whose handler throws an exception with 500.
+ * {@link ServerExchange}; answers malformed ones with 400, those that exceed {@link RequestLimits}
+ * with 413 or 431, those for which {@link ServerResources} have no memory with 503, and those whose
+ * handler throws an exception with 500.
  *
  * <p>Grizzly's own server is not used because it stops reading while a response is due, so that a
  * client that disconnects is not noticed.
@@ -31,8 +35,10 @@
  * <p>Threading: confined to the event loop, which also calls the handler.
  */
 public final class HttpServer {
-    /** Longest request head. */
-    private static final int MAX_HEADER_BYTES = 64 * 1_024;
+    /**
+     * Longest request head, chunk head or trailer that the parser takes, whatever is configured.
+     */
+    private static final int MAX_PARSED_BYTES = 1_024 * 1_024;
 
     /** Most header fields of a request. */
     private static final int MAX_REQUEST_HEADERS = 100;
@@ -40,55 +46,69 @@
     /** Most header fields of a response; a forwarded one has some more than the upstream's. */
     static final int MAX_RESPONSE_HEADERS = 128;
 
-    /** Longest request body until {@link #limitBody} is called. */
-    private static final long DEFAULT_MAX_BODY_BYTES = 8L * 1_024 * 1_024;
-
     private static final Attribute<ServerConnection> STATE =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("myrtleladder.server");
 
     private final EventLoop loop;
     private final Consumer<ServerExchange> handler;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
-    private long maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
+    private final ServerResources resources;
+    private final Supplier<RequestLimits> currentLimits;
+    private RequestLimits limits;
     private boolean closing;
     private String keepAlive;
 
     /**
-     * Listens at an address.
+     * Listens at an address with default limits and resources of its own.
      *
      * @throws myrtleladder.eventloop.NetworkException if it can't be bound
      */
-    @SuppressWarnings("deprecation") // no other constructor takes the limits
     public HttpServer(EventLoop loop, String host, int port, Consumer<ServerExchange> handler) {
+        this(
+                loop,
+                host,
+                port,
+                () -> RequestLimits.DEFAULT,
+                new ServerResources(loop, ServerResources.DEFAULT_DESCRIPTORS),
+                handler);
+    }
+
+    /**
+     * Listens at an address.
+     *
+     * @param currentLimits returns the limits, on the event loop; called now and then
+     * @param resources what the clients of this server and of others may use together
+     * @throws myrtleladder.eventloop.NetworkException if it can't be bound
+     */
+    public HttpServer(
+            EventLoop loop,
+            String host,
+            int port,
+            Supplier<RequestLimits> currentLimits,
+            ServerResources resources,
+            Consumer<ServerExchange> handler) {
         this.loop = loop;
         this.handler = handler;
-        KeepAlive unlimited = new KeepAlive();
-        unlimited.setIdleTimeoutInSeconds(-1);
-        unlimited.setMaxRequestsCount(-1);
-        HttpServerFilter codec =
-                new HttpServerFilter(
-                        true,
-                        MAX_HEADER_BYTES,
-                        null,
-                        unlimited,
-                        null,
-                        MAX_REQUEST_HEADERS,
-                        MAX_RESPONSE_HEADERS);
-        codec.setAllowPayloadForUndefinedHttpMethods(true);
+        this.resources = resources;
+        this.currentLimits = currentLimits;
+        this.limits = currentLimits.get();
+        resources.add(this);
         loop.bind(
                 host,
                 port,
                 FilterChainBuilder.stateless()
                         .add(new TransportFilter())
                         .add(new ArrivalFilter())
-                        .add(codec)
+                        .add(new RequestCodec())
                         .add(new RequestFilter())
                         .build());
     }
 
-    /** Limits the body of a request; a larger one is answered with 413. */
-    public void limitBody(long bytes) {
-        maxBodyBytes = bytes;
+    private static KeepAlive unlimitedKeepAlive() {
+        KeepAlive unlimited = new KeepAlive();
+        unlimited.setIdleTimeoutInSeconds(-1);
+        unlimited.setMaxRequestsCount(-1);
+        return unlimited;
     }
 
     /** Sets the value of the Keep-Alive field of all responses, null for none. */
@@ -104,20 +124,22 @@
         }
     }
 
+    /** Reads the limits anew and closes connections that exceed them. */
+    void closeExpired() {
+        limits = currentLimits.get();
+        closeIdle(limits.idleTimeoutMs(), limits.receiveTimeoutMs());
+    }
+
     /**
      * Closes connections that exceed a limit.
      *
      * @param maxIdleMs longest time without a request
      * @param maxReceiveMs longest time from the first to the last byte of a request
      */
-    public void closeIdle(long maxIdleMs, long maxReceiveMs) {
-        long now = loop.now();
+    void closeIdle(long maxIdleMs, long maxReceiveMs) {
+        long nowMs = loop.now();
         for (ServerConnection connection : copyOfConnections()) {
-            if (now - connection.receivingSinceMs() > maxReceiveMs) {
-                connection.terminate();
-            } else if (now - connection.idleSinceMs() > maxIdleMs) {
-                connection.closeIfIdle();
-            }
+            connection.closeIfExpired(nowMs, maxIdleMs, maxReceiveMs);
         }
     }
 
@@ -130,6 +152,14 @@
         return count;
     }
 
+    RequestLimits limits() {
+        return limits;
+    }
+
+    ServerResources resources() {
+        return resources;
+    }
+
     long now() {
         return loop.now();
     }
@@ -164,16 +194,42 @@
             state = new ServerConnection(this, connection);
             STATE.set(connection, state);
             connections.add(state);
+            resources.connected(state);
         }
         return state;
     }
 
-    /** Notes the arrival of bytes before they are parsed. */
+    /** Reports bytes before they are parsed, and discards those that nobody wants. */
     private final class ArrivalFilter extends BaseFilter {
         @Override
         public NextAction handleRead(FilterChainContext ctx) throws IOException {
-            stateOf(ctx.getConnection()).onBytesArrived();
-            return ctx.getInvokeAction();
+            Buffer buffer = ctx.getMessage();
+            boolean isWanted = stateOf(ctx.getConnection()).onBytesArrived(buffer.remaining());
+            return isWanted ? ctx.getInvokeAction() : ctx.getStopAction();
+        }
+    }
+
+    /** Parses requests and reports each head before the body has arrived. */
+    private final class RequestCodec extends HttpServerFilter {
+        @SuppressWarnings("deprecation") // no other constructor takes the limits
+        RequestCodec() {
+            super(
+                    true,
+                    MAX_PARSED_BYTES,
+                    null,
+                    unlimitedKeepAlive(),
+                    null,
+                    MAX_REQUEST_HEADERS,
+                    MAX_RESPONSE_HEADERS);
+            setAllowPayloadForUndefinedHttpMethods(true);
+        }
+
+        @Override
+        protected boolean onHttpHeaderParsed(
+                HttpHeader header, Buffer buffer, FilterChainContext ctx) {
+            boolean wasUpgraded = super.onHttpHeaderParsed(header, buffer, ctx);
+            stateOf(ctx.getConnection()).onHeadParsed((HttpRequestPacket) header);
+            return wasUpgraded;
         }
     }
 
@@ -190,7 +246,7 @@
             HttpContent content = ctx.getMessage();
             ServerConnection state = stateOf(ctx.getConnection());
             HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
-            state.received(request, content, maxBodyBytes);
+            state.received(request, content);
             return ctx.getStopAction();
         }
 
--- a/src/main/java/myrtleladder/http/ServerConnection.java
+++ b/src/main/java/myrtleladder/http/ServerConnection.java
@@ -1,58 +1,161 @@
 package myrtleladder.http;
 
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * A client's connection: the request that is being read, the one that is being answered, and the
  * pipelined ones behind it, which are answered in order (RFC 9112, section 9.3.2).
  *
+ * <p>A request that is refused before it was read is answered in its turn; what the client sends
+ * behind it is discarded, and the connection closes a while after the answer, so that the client
+ * can read it.
+ *
+ * <p>Invariant: {@link #heldBytes} is the sum of what the parts below have reserved, and none once
+ * the connection is closed.
+ *
  * <p>Threading: confined to the event loop.
  */
 final class ServerConnection {
-    /** Pipelined requests behind the current one; with more the connection is closed. */
+    private static final int REQUEST_HEADER_FIELDS_TOO_LARGE = 431;
+    private static final int CONTENT_TOO_LARGE = 413;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int BAD_REQUEST = 400;
+
+    /** When a client that is refused for lack of memory may try again. */
+    private static final String RETRY_AFTER_SECONDS = "0.500";
+
+    /** Pipelined requests behind the current one; with more the input is closed. */
     private static final int MAX_PIPELINED = 16;
 
+    /** How long the client may read the last answer while its further input is discarded. */
+    private static final long LINGER_MS = 1_000;
+
+    /** Memory of a parsed head in proportion to its size: the bytes, and the fields as texts. */
+    private static final int HEAD_MEMORY_FACTOR = 3;
+
+    /** Memory of a response that waits to be written, besides its bytes. */
+    private static final int PENDING_WRITE_OVERHEAD_BYTES = 256;
+
     /** Value of {@link #receivingSinceMs} while no request is incomplete. */
     private static final long NOT_RECEIVING = Long.MAX_VALUE;
 
+    /** Value of {@link #lingeringSinceMs} before the last answer was written. */
+    private static final long NOT_LINGERING = Long.MAX_VALUE;
+
     private final HttpServer server;
+    private final ServerResources resources;
     private final Connection<?> connection;
     private final ArrayDeque<HttpExchange> pipelined = new ArrayDeque<>();
     private HttpRequestPacket reading;
-    private byte[] body = HttpExchange.NO_BYTES;
-    private boolean tooLarge;
+    private RequestBody body = new RequestBody();
     private HttpExchange current;
+    private boolean isInputClosed;
+    private boolean isClosed;
+    private boolean hasServed;
     private long idleSinceMs;
     private long receivingSinceMs = NOT_RECEIVING;
+    private long lingeringSinceMs = NOT_LINGERING;
+    private long outputChangedAtMs;
+
+    /** Sum of the reservations below and of those of all exchanges. */
+    private long heldBytes;
+
+    /** Bytes that arrived since the parser last delivered anything; it may hold all of them. */
+    private long unparsedBytes;
+
+    /** Reservation for the head of the request that is being read. */
+    private long headBytes;
+
+    /** Bytes of responses that the client's side has not taken yet. */
+    private long outputBytes;
 
     ServerConnection(HttpServer server, Connection<?> connection) {
         this.server = server;
+        this.resources = server.resources();
         this.connection = connection;
         this.idleSinceMs = server.now();
     }
 
-    void onBytesArrived() {
+    /**
+     * Called for bytes that arrived, before they are parsed.
+     *
+     * @return whether they are to be parsed; if not, they are discarded
+     */
+    boolean onBytesArrived(int count) {
+        if (isInputClosed || isClosed) {
+            return false;
+        }
+        startReceiving();
+        if (unparsedBytes > server.limits().maxHeaderBytes()) {
+            resources.count(Refusal.HEAD_TOO_LARGE);
+            closeInputAndThenConnection();
+            return false;
+        }
+        if (!reserve(count)) {
+            giveWay();
+            return false;
+        }
+        unparsedBytes += count;
+        return true;
+    }
+
+    /** Starts the time limit of a request, also of one whose bytes came with the one before. */
+    private void startReceiving() {
         if (receivingSinceMs == NOT_RECEIVING) {
             receivingSinceMs = server.now();
         }
     }
 
-    void received(HttpRequestPacket request, HttpContent content, long maxBodyBytes) {
+    /** Called when the head of a request has been parsed, before its body. */
+    void onHeadParsed(HttpRequestPacket request) {
+        if (isInputClosed || isClosed || reading != null) {
+            return;
+        }
+        reading = request;
+        startReceiving();
+        long size = sizeOf(request);
+        if (size > server.limits().maxHeaderBytes()) {
+            refuse(Refusal.HEAD_TOO_LARGE, REQUEST_HEADER_FIELDS_TOO_LARGE);
+        } else if (request.getContentLength() > server.limits().maxBodyBytes()) {
+            refuse(Refusal.BODY_TOO_LARGE, CONTENT_TOO_LARGE);
+        } else if (reserve(size * HEAD_MEMORY_FACTOR)) {
+            headBytes = size * HEAD_MEMORY_FACTOR;
+        } else {
+            giveWay();
+        }
+    }
+
+    private static long sizeOf(HttpRequestPacket request) {
+        long size = request.getMethod().getMethodString().length();
+        size += request.getRequestURIRef().getOriginalRequestURIBC().getLength();
+        size += request.getQueryStringDC().getLength();
+        MimeHeaders fields = request.getHeaders();
+        for (int i = 0; i < fields.size(); i++) {
+            size += fields.getName(i).getLength() + fields.getValue(i).getLength() + 4L;
+        }
+        return size;
+    }
+
+    /** Called for each part of a request, the last one included. */
+    void received(HttpRequestPacket request, HttpContent content) {
+        release(unparsedBytes);
+        unparsedBytes = 0;
         if (reading == null) {
-            reading = request;
-            body = HttpExchange.NO_BYTES;
-            tooLarge = false;
+            onHeadParsed(request);
         }
         Buffer buffer = content.getContent();
-        if (buffer != null && buffer.hasRemaining()) {
-            append(buffer, maxBodyBytes);
+        if (!isInputClosed && buffer != null && buffer.hasRemaining()) {
+            append(buffer);
         }
-        if (content.isLast() || isUpgradeComplete()) {
+        if (!isInputClosed && !isClosed && (content.isLast() || isUpgradeComplete())) {
             complete();
         }
     }
@@ -61,49 +164,74 @@
     private boolean isUpgradeComplete() {
         return reading.isUpgrade()
                 && !reading.isChunked()
-                && !tooLarge
-                && body.length >= Math.max(0, reading.getContentLength());
+                && body.size() >= Math.max(0, reading.getContentLength());
     }
 
-    private void append(Buffer buffer, long maxBodyBytes) {
-        int more = buffer.remaining();
-        if (tooLarge || body.length + more > maxBodyBytes) {
-            tooLarge = true;
+    private void append(Buffer buffer) {
+        long maxSize = server.limits().maxBodyBytes();
+        if (body.size() + (long) buffer.remaining() > maxSize) {
+            refuse(Refusal.BODY_TOO_LARGE, CONTENT_TOO_LARGE);
+            return;
+        }
+        long announced = reading.getContentLength() < 0 ? maxSize : reading.getContentLength();
+        int capacity = body.capacityToAppend(buffer.remaining(), announced);
+        if (!reserve(capacity - body.capacity())) {
+            giveWay();
             return;
         }
-        byte[] longer = Arrays.copyOf(body, body.length + more);
-        buffer.get(longer, body.length, more);
-        body = longer;
+        body.append(buffer, capacity);
     }
 
     private void complete() {
-        HttpExchange exchange = new HttpExchange(this, reading, body, tooLarge);
+        HttpExchange exchange = new HttpExchange(this, reading, body.toByteArray(), 0);
+        long exchangeBytes = headBytes + body.size();
+        release(body.capacity() - body.size());
+        exchange.setHeldBytes(exchangeBytes);
+        headBytes = 0;
+        body = new RequestBody();
+        boolean isUpgrade = reading.isUpgrade();
         reading = null;
         receivingSinceMs = NOT_RECEIVING;
-        body = HttpExchange.NO_BYTES;
-        if (current != null) {
-            pipelined.add(exchange);
-            if (pipelined.size() > MAX_PIPELINED) {
-                connection.terminateSilently();
-            }
+        if (isUpgrade) {
+            closeInput();
+        }
+        enqueue(exchange);
+    }
+
+    private void enqueue(HttpExchange exchange) {
+        if (current == null) {
+            begin(exchange);
             return;
         }
-        begin(exchange);
+        pipelined.add(exchange);
+        if (pipelined.size() > MAX_PIPELINED) {
+            resources.count(Refusal.TOO_MANY_PIPELINED);
+            release(pipelined.removeLast().heldBytes());
+            closeInput();
+        }
     }
 
     private void begin(HttpExchange exchange) {
         current = exchange;
         if (!exchange.isWellFormed()) {
-            exchange.respond(400, new Headers().add("Connection", "close"), HttpExchange.NO_BYTES);
+            exchange.respond(BAD_REQUEST, closing(), RequestBody.NO_BYTES);
             return;
         }
-        if (exchange.isTooLarge()) {
-            exchange.respond(413, new Headers(), HttpExchange.NO_BYTES);
+        if (exchange.refusedStatus() != 0) {
+            Headers headers = closing();
+            if (exchange.refusedStatus() == SERVICE_UNAVAILABLE) {
+                headers.add("Retry-After", RETRY_AFTER_SECONDS);
+            }
+            exchange.respond(exchange.refusedStatus(), headers, RequestBody.NO_BYTES);
             return;
         }
         handle(exchange);
     }
 
+    private static Headers closing() {
+        return new Headers().add("Connection", "close");
+    }
+
     /** Calls the handler; if it throws an exception, the client is answered all the same. */
     private void handle(HttpExchange exchange) {
         try {
@@ -115,12 +243,148 @@
         }
     }
 
+    /** Refuses the request that is being read, in its turn. */
+    private void refuse(Refusal reason, int status) {
+        resources.count(reason);
+        HttpExchange refused = new HttpExchange(this, reading, RequestBody.NO_BYTES, status);
+        closeInput();
+        enqueue(refused);
+    }
+
+    /** Discards what is being read and all that follows; earlier requests are still answered. */
+    private void closeInput() {
+        isInputClosed = true;
+        release(headBytes + body.capacity());
+        headBytes = 0;
+        body = new RequestBody();
+        reading = null;
+        receivingSinceMs = NOT_RECEIVING;
+    }
+
+    private void closeInputAndThenConnection() {
+        closeInput();
+        if (current == null) {
+            terminate();
+        }
+    }
+
+    /** Refuses what is being read because there is no memory for it. */
+    private void giveWay() {
+        if (isInputClosed || isClosed) {
+            return;
+        }
+        if (reading != null) {
+            refuse(Refusal.OUT_OF_MEMORY, SERVICE_UNAVAILABLE);
+        } else {
+            resources.count(Refusal.OUT_OF_MEMORY);
+            closeInputAndThenConnection();
+        }
+    }
+
+    /** Frees {@link #sheddableBytes}, because the memory of all connections is used up. */
+    void shed() {
+        if (outputBytes >= sheddableInputBytes()) {
+            resources.count(Refusal.ANSWER_NOT_READ);
+            terminate();
+            return;
+        }
+        HttpExchange firstWaiting = pipelined.peek();
+        for (HttpExchange waiting : pipelined) {
+            release(waiting.heldBytes());
+        }
+        pipelined.clear();
+        if (firstWaiting == null) {
+            giveWay();
+            release(unparsedBytes);
+            unparsedBytes = 0;
+            return;
+        }
+        resources.count(Refusal.OUT_OF_MEMORY);
+        closeInput();
+        enqueue(firstWaiting.refusedWith(SERVICE_UNAVAILABLE));
+    }
+
+    /** Returns how many bytes {@link #shed} would free. */
+    long sheddableBytes() {
+        return isClosed ? 0 : Math.max(outputBytes, sheddableInputBytes());
+    }
+
+    private long sheddableInputBytes() {
+        if (isInputClosed) {
+            return 0;
+        }
+        long waiting = 0;
+        for (HttpExchange exchange : pipelined) {
+            waiting += exchange.heldBytes();
+        }
+        return waiting + unparsedBytes + headBytes + body.capacity();
+    }
+
+    /** Returns for how long the client has not finished its request or has not read its answer. */
+    long unfinishedMs(long nowMs) {
+        long receivingMs = receivingSinceMs == NOT_RECEIVING ? 0 : nowMs - receivingSinceMs;
+        long unreadMs = outputBytes == 0 ? 0 : nowMs - outputChangedAtMs;
+        return Math.max(receivingMs, unreadMs);
+    }
+
+    /** Reserves memory for an exchange beyond its request; false if there is none. */
+    boolean reserveFor(HttpExchange exchange, long bytes) {
+        if (isClosed || !reserve(bytes)) {
+            return false;
+        }
+        exchange.setHeldBytes(exchange.heldBytes() + bytes);
+        return true;
+    }
+
+    private boolean reserve(long bytes) {
+        if (!resources.reserve(this, bytes) || isClosed) {
+            return false;
+        }
+        heldBytes += bytes;
+        return true;
+    }
+
+    private void release(long bytes) {
+        if (!isClosed) {
+            heldBytes -= bytes;
+            resources.release(bytes);
+        }
+    }
+
+    /** Compares the bytes that wait to be written with those that are counted. */
+    void updateOutput(long nowMs) {
+        if (isClosed) {
+            return;
+        }
+        var queue = ((NIOConnection) connection).getAsyncWriteQueue();
+        long waiting = queue.spaceInBytes();
+        if (waiting == 0 && outputBytes == 0) {
+            return;
+        }
+        if (waiting > 0) {
+            waiting += (long) PENDING_WRITE_OVERHEAD_BYTES * queue.size();
+        }
+        if (waiting != outputBytes) {
+            outputChangedAtMs = nowMs;
+            heldBytes += waiting - outputBytes;
+            resources.charge(waiting - outputBytes);
+            outputBytes = waiting;
+        }
+    }
+
+    /** Called when bytes of a response were handed to the connection. */
+    void onWritten() {
+        updateOutput(server.now());
+    }
+
     void answered(HttpExchange exchange, boolean keep) {
         if (exchange != current) {
             return;
         }
         current = null;
+        release(exchange.heldBytes());
         idleSinceMs = server.now();
+        hasServed |= exchange.refusedStatus() == 0;
         if (!keep) {
             return;
         }
@@ -130,9 +394,30 @@
         }
     }
 
+    /** Called when the last answer of this connection has been written. */
+    void onLastAnswerWritten() {
+        if (!isInputClosed) {
+            connection.closeSilently();
+            return;
+        }
+        lingeringSinceMs = server.now();
+        try {
+            ((SocketChannel) ((NIOConnection) connection).getChannel()).shutdownOutput();
+        } catch (IOException e) {
+            terminate();
+        }
+    }
+
     void closed() {
+        if (isClosed) {
+            return;
+        }
+        release(heldBytes);
+        isClosed = true;
         server.forget(this);
+        resources.disconnected(this);
         pipelined.clear();
+        body = new RequestBody();
         HttpExchange ended = current;
         current = null;
         if (ended != null) {
@@ -140,18 +425,50 @@
         }
     }
 
+    /** Closes the connection if a time limit was exceeded. */
+    void closeIfExpired(long nowMs, long maxIdleMs, long maxReceiveMs) {
+        updateOutput(nowMs);
+        boolean isUnread = outputBytes > 0 && nowMs - outputChangedAtMs > maxIdleMs;
+        if (isUnread) {
+            resources.count(Refusal.ANSWER_NOT_READ);
+            terminate();
+        } else if (lingeringSinceMs != NOT_LINGERING) {
+            if (nowMs - lingeringSinceMs > LINGER_MS) {
+                terminate();
+            }
+        } else if (nowMs - receivingSinceMs > maxReceiveMs) {
+            resources.count(Refusal.REQUEST_TOO_SLOW);
+            closeInputAndThenConnection();
+        } else if (nowMs - idleSinceMs() > maxIdleMs && outputBytes == 0) {
+            closeIfIdle();
+        }
+    }
+
+    /** Returns whether this connection rather than another is closed when there are too many. */
+    boolean isWorthLessThan(ServerConnection other) {
+        if (hasServed != other.hasServed) {
+            return !hasServed;
+        }
+        return idleSinceMs < other.idleSinceMs;
+    }
+
+    /** Returns whether a complete request has not been answered. */
+    boolean isAnswerDue() {
+        return current != null;
+    }
+
     /** Returns whether a pipelined request waits behind the current one. */
     boolean hasPipelined() {
         return !pipelined.isEmpty();
     }
 
-    boolean isIdle() {
-        return current == null && receivingSinceMs == NOT_RECEIVING;
+    /** Returns whether the connection closes after the answers that are due. */
+    boolean isInputClosed() {
+        return isInputClosed;
     }
 
-    /** Returns when the first byte of the incomplete request onBytesArrived, in milliseconds. */
-    long receivingSinceMs() {
-        return current == null ? receivingSinceMs : NOT_RECEIVING;
+    boolean isIdle() {
+        return current == null && receivingSinceMs == NOT_RECEIVING;
     }
 
     long idleSinceMs() {
@@ -166,6 +483,11 @@
 
     void terminate() {
         connection.terminateSilently();
+        closed();
+    }
+
+    long heldBytes() {
+        return heldBytes;
     }
 
     Connection<?> connection() {
--- a/src/main/java/myrtleladder/http/ServerExchange.java
+++ b/src/main/java/myrtleladder/http/ServerExchange.java
@@ -17,6 +17,13 @@
     /** Returns the address of the client's end of the connection. */
     String caller();
 
+    /**
+     * Reserves memory for the response until the exchange ends, beside what its request uses.
+     *
+     * @return whether there is memory for it
+     */
+    boolean reserveMemory(long bytes);
+
     /** Sends a complete response; {@code headers} is changed. */
     void respond(int status, Headers headers, byte[] body);
 
--- a/src/main/java/myrtleladder/rpc/MessageServer.java
+++ b/src/main/java/myrtleladder/rpc/MessageServer.java
@@ -1,10 +1,13 @@
 package myrtleladder.rpc;
 
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import myrtleladder.eventloop.EventLoop;
 import myrtleladder.http.Headers;
 import myrtleladder.http.HttpServer;
+import myrtleladder.http.RequestLimits;
 import myrtleladder.http.ServerExchange;
+import myrtleladder.http.ServerResources;
 import myrtleladder.protocol.Message;
 import myrtleladder.protocol.MessageCodec;
 import myrtleladder.result.ResultException;
@@ -41,6 +44,19 @@
         new HttpServer(loop, host, port, this::handle);
     }
 
+    /**
+     * Listens at an address with default limits.
+     *
+     * @param resources what the callers of this server and the clients of others may use together
+     * @throws myrtleladder.eventloop.NetworkException if it can't be bound
+     */
+    public MessageServer(
+            EventLoop loop, String host, int port, ServerResources resources, Handler handler) {
+        this.handler = handler;
+        Supplier<RequestLimits> limits = () -> RequestLimits.DEFAULT;
+        new HttpServer(loop, host, port, limits, resources, this::handle);
+    }
+
     /** Returns the number of messages that could not be decoded. */
     public long refused() {
         return undecodable;
--- a/src/test/java/myrtleladder/controlplane/FakeServerExchange.java
+++ b/src/test/java/myrtleladder/controlplane/FakeServerExchange.java
@@ -33,6 +33,11 @@
         return "caller";
     }
 
+    @Override
+    public final boolean reserveMemory(long bytes) {
+        return true;
+    }
+
     @Override
     public final boolean open() {
         return true;
--- a/src/test/java/myrtleladder/dataplane/ScriptedClient.java
+++ b/src/test/java/myrtleladder/dataplane/ScriptedClient.java
@@ -110,6 +110,11 @@
         aborted = true;
     }
 
+    @Override
+    public boolean reserveMemory(long bytes) {
+        return true;
+    }
+
     @Override
     public boolean open() {
         return open;
