Count the copy of a body that is sent to an upstream, write large bodies apart

Cause: a body being forwarded exists twice, as a heap dump shows: 36 requests in flight, 70 arrays of the size of a body, where 36 were counted; the library copies a body that is written together with its head. A balancer's ports without configured limits let the bound follow from their 8 MiB.

Change: the router reserves a body's size for the copy before it does anything with a request, and answers 503 with Retry-After if there is none. Bodies over 16 KiB are written apart from their heads. Internal and readiness port of a balancer take 1 MiB and 16 KiB.

--- a/src/main/java/myrtleladder/controlplane/ControlNode.java
+++ b/src/main/java/myrtleladder/controlplane/ControlNode.java
@@ -170,7 +170,13 @@
         plane.attach(replica);
         ServerResources resources = new ServerResources(loop, settings.limits().descriptors());
         Address internal = settings.internal().listen();
-        new MessageServer(loop, internal.host(), internal.port(), resources, plane::receive);
+        new MessageServer(
+                loop,
+                internal.host(),
+                internal.port(),
+                RequestLimits.DEFAULT,
+                resources,
+                plane::receive);
         Address control = settings.control();
         new HttpServer(
                 loop,
--- a/src/main/java/myrtleladder/dataplane/Main.java
+++ b/src/main/java/myrtleladder/dataplane/Main.java
@@ -46,6 +46,14 @@
     /** Time without requests in flight that is left for the last bytes to reach clients. */
     private static final long FLUSH_MS = 150;
 
+    /** A balancer receives heartbeats of other balancers alone. */
+    private static final RequestLimits INTERNAL_LIMITS =
+            RequestLimits.DEFAULT.withMaxBodyBytes(1_024 * 1_024);
+
+    /** Readiness checks have no body. */
+    private static final RequestLimits READINESS_LIMITS =
+            RequestLimits.DEFAULT.withMaxBodyBytes(16 * 1_024);
+
     private final NodeSettings settings;
     private final EventLoop loop;
     private final CountDownLatch terminated = new CountDownLatch(1);
@@ -141,6 +149,7 @@
                 loop,
                 settings.internal().listen().host(),
                 settings.internal().listen().port(),
+                INTERNAL_LIMITS,
                 resources,
                 (message, callback) -> handleMessage(heartbeatAgent, message, callback));
         heartbeatAgent.start();
@@ -149,7 +158,7 @@
                 loop,
                 readiness.host(),
                 readiness.port(),
-                () -> RequestLimits.DEFAULT,
+                () -> READINESS_LIMITS,
                 resources,
                 this::handleReadinessProbe);
         Address clients = settings.frontend();
--- a/src/main/java/myrtleladder/dataplane/RequestRouter.java
+++ b/src/main/java/myrtleladder/dataplane/RequestRouter.java
@@ -27,6 +27,9 @@
     /** Retry-After while this balancer shuts down; short, since other balancers are available. */
     private static final long SHUTDOWN_RETRY_AFTER_MS = 10;
 
+    /** Retry-After while there is no memory for the copy of a body that is sent to an upstream. */
+    private static final long OUT_OF_MEMORY_RETRY_AFTER_MS = 500;
+
     /** Maximum Retry-After of requests over quota. */
     private static final long MAX_QUOTA_RETRY_AFTER_MS = 2_000;
 
@@ -63,6 +66,11 @@
             reject(client, 503, retryAfterMs);
             return;
         }
+        if (!client.reserveMemory(client.body().length)) {
+            count(Event.NOT_ADMITTED);
+            reject(client, 503, OUT_OF_MEMORY_RETRY_AFTER_MS);
+            return;
+        }
         Route route = matchRoute(client);
         if (route == null) {
             count(Event.NO_ROUTE);
--- a/src/main/java/myrtleladder/http/HttpConnection.java
+++ b/src/main/java/myrtleladder/http/HttpConnection.java
@@ -39,6 +39,9 @@
     /** Longest response head. */
     private static final int MAX_HEADER_BYTES = 64 * 1_024;
 
+    /** A longer body is written apart from its head: the library copies what it writes together. */
+    static final int MAX_COMBINED_BODY_BYTES = 16 * 1_024;
+
     private static final FilterChain CHAIN =
             FilterChainBuilder.stateless()
                     .add(new TransportFilter())
@@ -196,6 +199,9 @@
         transitionTo(State.AWAITING_HEAD);
         HttpRequestPacket request = builder.build();
         Buffer content = body.length == 0 ? Buffers.EMPTY_BUFFER : Buffers.wrap(null, body);
+        if (body.length > MAX_COMBINED_BODY_BYTES) {
+            connection.write(request);
+        }
         connection.write(HttpContent.builder(request).content(content).last(true).build());
     }
 
--- a/src/main/java/myrtleladder/http/HttpExchange.java
+++ b/src/main/java/myrtleladder/http/HttpExchange.java
@@ -122,6 +122,9 @@
         }
         response.setContentLength(answer.length);
         transitionTo(State.ENDED);
+        if (answer.length > HttpConnection.MAX_COMBINED_BODY_BYTES) {
+            write(response, false);
+        }
         write(
                 HttpContent.builder(response)
                         .content(wrap(answer, 0, answer.length))
--- a/src/main/java/myrtleladder/http/RequestLimits.java
+++ b/src/main/java/myrtleladder/http/RequestLimits.java
@@ -25,6 +25,11 @@
                     DEFAULT_RECEIVE_TIMEOUT_MS,
                     DEFAULT_IDLE_TIMEOUT_MS);
 
+    /** Returns these limits with another largest body. */
+    public RequestLimits withMaxBodyBytes(long bytes) {
+        return new RequestLimits(maxHeaderBytes, bytes, receiveTimeoutMs, idleTimeoutMs);
+    }
+
     /** Returns these limits with another receive timeout. */
     public RequestLimits withReceiveTimeoutMs(long timeoutMs) {
         return new RequestLimits(maxHeaderBytes, maxBodyBytes, timeoutMs, idleTimeoutMs);
--- a/src/main/java/myrtleladder/rpc/MessageServer.java
+++ b/src/main/java/myrtleladder/rpc/MessageServer.java
@@ -1,7 +1,6 @@
 package myrtleladder.rpc;
 
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import myrtleladder.eventloop.EventLoop;
 import myrtleladder.http.Headers;
 import myrtleladder.http.HttpServer;
@@ -45,16 +44,21 @@
     }
 
     /**
-     * Listens at an address with default limits.
+     * Listens at an address.
      *
+     * @param limits limits on each message
      * @param resources what the callers of this server and the clients of others may use together
      * @throws myrtleladder.eventloop.NetworkException if it can't be bound
      */
     public MessageServer(
-            EventLoop loop, String host, int port, ServerResources resources, Handler handler) {
+            EventLoop loop,
+            String host,
+            int port,
+            RequestLimits limits,
+            ServerResources resources,
+            Handler handler) {
         this.handler = handler;
-        Supplier<RequestLimits> limits = () -> RequestLimits.DEFAULT;
-        new HttpServer(loop, host, port, limits, resources, this::handle);
+        new HttpServer(loop, host, port, () -> limits, resources, this::handle);
     }
 
     /** Returns the number of messages that could not be decoded. */
