Let the programs log refused clients: the http package knows no logging library

Change: the lines go to a consumer that the programs pass in.

Measured: PackagesTest 35 of 35, HttpTest 14, ServerResourcesTest 11, KnownFailuresTest 5.

--- a/src/main/java/myrtleladder/controlplane/ControlNode.java
+++ b/src/main/java/myrtleladder/controlplane/ControlNode.java
@@ -168,7 +168,8 @@
     private static void startServers(
             NodeSettings settings, EventLoop loop, ControlPlane plane, Replica replica) {
         plane.attach(replica);
-        ServerResources resources = new ServerResources(loop, settings.limits().descriptors());
+        ServerResources resources =
+                new ServerResources(loop, settings.limits().descriptors(), LOG::warn);
         Address internal = settings.internal().listen();
         new MessageServer(
                 loop,
--- a/src/main/java/myrtleladder/dataplane/Main.java
+++ b/src/main/java/myrtleladder/dataplane/Main.java
@@ -144,7 +144,8 @@
     }
 
     private void startServers(HeartbeatAgent heartbeatAgent) {
-        ServerResources resources = new ServerResources(loop, settings.limits().descriptors());
+        ServerResources resources =
+                new ServerResources(loop, settings.limits().descriptors(), LOG::warn);
         new MessageServer(
                 loop,
                 settings.internal().listen().host(),
--- a/src/main/java/myrtleladder/http/HttpServer.java
+++ b/src/main/java/myrtleladder/http/HttpServer.java
@@ -69,7 +69,7 @@
                 host,
                 port,
                 () -> RequestLimits.DEFAULT,
-                new ServerResources(loop, ServerResources.DEFAULT_DESCRIPTORS),
+                new ServerResources(loop, ServerResources.DEFAULT_DESCRIPTORS, line -> {}),
                 handler);
     }
 
--- a/src/main/java/myrtleladder/http/ServerResources.java
+++ b/src/main/java/myrtleladder/http/ServerResources.java
@@ -6,9 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import myrtleladder.eventloop.EventLoop;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * The memory and the connections that the clients of all servers of a process may use together.
@@ -22,8 +21,6 @@
  * <p>Threading: confined to the event loop, except for the constructor and {@link #add}.
  */
 public final class ServerResources {
-    private static final Logger LOG = LogManager.getLogger(ServerResources.class);
-
     /** The part of the heap, as one in so many, that clients may use. */
     private static final int HEAP_DIVISOR = 4;
 
@@ -55,6 +52,7 @@
     static final int DEFAULT_DESCRIPTORS = 1_024;
 
     private final EventLoop loop;
+    private final Consumer<String> log;
     private final long heapShareBytes;
     private final int maxConnections;
     private final List<HttpServer> servers = new ArrayList<>();
@@ -69,12 +67,14 @@
      * Creates the resources of a process whose heap is that of this virtual machine.
      *
      * @param descriptors how many descriptors the process may have open
+     * @param log writes a line about refused clients to the log
      */
-    public ServerResources(EventLoop loop, int descriptors) {
-        this(loop, descriptors, Runtime.getRuntime().maxMemory());
+    public ServerResources(EventLoop loop, int descriptors, Consumer<String> log) {
+        this(loop, descriptors, Runtime.getRuntime().maxMemory(), log);
     }
 
-    ServerResources(EventLoop loop, int descriptors, long heapBytes) {
+    ServerResources(EventLoop loop, int descriptors, long heapBytes, Consumer<String> log) {
+        this.log = log;
         this.loop = loop;
         this.heapShareBytes = heapBytes / HEAP_DIVISOR;
         this.capacityBytes = heapShareBytes;
@@ -240,12 +240,13 @@
         }
         loggedRefusals = total;
         loggedAtMs = nowMs;
-        LOG.warn(
-                "clients refused since the start: {}; {} connections of {}, {} bytes of {}",
-                refusals,
-                connections.size(),
-                maxConnections,
-                heldBytes,
-                capacityBytes);
+        log.accept(
+                "clients refused since the start: %s; %d connections of %d, %d bytes of %d"
+                        .formatted(
+                                refusals,
+                                connections.size(),
+                                maxConnections,
+                                heldBytes,
+                                capacityBytes));
     }
 }
--- a/src/test/java/myrtleladder/http/ServerResourcesTest.java
+++ b/src/test/java/myrtleladder/http/ServerResourcesTest.java
@@ -63,7 +63,7 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
             port = free.getLocalPort();
         }
-        resources = new ServerResources(loop, descriptors, heapBytes);
+        resources = new ServerResources(loop, descriptors, heapBytes, line -> {});
         Consumer<ServerExchange> recording =
                 exchange -> {
                     handled.add(exchange.head().target());
