--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -170,13 +170,10 @@
             note("started " + name + " at " + ip + ", process " + process.pid());
         }
 
-        void signal(String signal) throws IOException {
-            note("signal " + signal + " to " + name);
-            try {
-                new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+        /** Sends SIGTERM, as the platform does. */
+        void terminate() {
+            note("SIGTERM to " + name);
+            process.destroy();
         }
 
         boolean alive() {
--- a/review/standins-2/TermWhileReading.java
+++ b/review/standins-2/TermWhileReading.java
@@ -86,7 +86,7 @@
             Lab.pause(100);
             long termAtMs = lab.ms();
             if (lab.trouble) {
-                balancer.signal("TERM");
+                balancer.terminate();
             }
             Lab.pause(STALL_MS);
             lab.note("client reads again; the balancer " + (balancer.alive() ? "runs" : "has ended"));
