Promise an epoch to one candidate, the node itself included

Two members logged that they became primary of the same epoch.

Cause: a promise is a number and a candidate, but the two had two owners. The number is stored and was also raised by an own candidacy, an accepted view and a restart; the candidate was a field of VoterRequestHandler that only prepare requests set. A node that stood for an epoch itself still remembered the former primary as the candidate, and took that one's request for the same number as a retry. handleInstallState compared the number alone, so the former primary then overwrote acknowledged changes.

Change: the candidate is stored with the number (StoredState.withPromise), and every change of the promise goes through it. A promise is repeated, and a state installed, only for its holder and until a view of the epoch is accepted. A member accepts one view of an epoch; a primary takes no change of its own epoch. Rejected requests that show two holders are errors in the log and count in epoch_conflicts at /status.

Why it works: two candidates with one number need majorities that share a member, and that member now keeps its promise for one of them.

--- a/src/main/java/myrtleladder/controlplane/StatusRequestHandler.java
+++ b/src/main/java/myrtleladder/controlplane/StatusRequestHandler.java
@@ -50,6 +50,7 @@
                         Map.of(
                                 "state", replica.state().name(),
                                 "epoch", replica.epoch(),
+                                "epoch_conflicts", replica.epochConflicts(),
                                 "generation", configuration.generation(),
                                 "upstreams", instances.reportedRecords().size(),
                                 "balancers", balancers.addresses().size(),
--- a/src/main/java/myrtleladder/protocol/InstallStateRequest.java
+++ b/src/main/java/myrtleladder/protocol/InstallStateRequest.java
@@ -8,7 +8,8 @@
  * accepted.
  *
  * <p>The receiver replaces its replicated state, merges the upstream records and syncs both to its
- * disk, if the epoch is the one it promised. Answered by {@link AcknowledgeResponse}.
+ * disk, if it promised the epoch to this candidate and has not accepted the view of that epoch.
+ * Answered by {@link AcknowledgeResponse}.
  */
 public final class InstallStateRequest implements Message {
     /** Epoch of the candidate. */
@@ -20,13 +21,17 @@
     /** Upstream records that the candidate knows, departed ones included. */
     public List<InstanceRecord> instances = new ArrayList<>();
 
+    /** The sending candidate, null if it runs a version that did not send it. */
+    public Member candidate;
+
     /** Creates a message with these fields. */
     public static InstallStateRequest of(
-            long epoch, Snapshot snapshot, List<InstanceRecord> instances) {
+            long epoch, Member candidate, Snapshot snapshot, List<InstanceRecord> instances) {
         InstallStateRequest message = new InstallStateRequest();
         message.epoch = epoch;
         message.snapshot = snapshot;
         message.instances = new ArrayList<>(instances);
+        message.candidate = candidate;
         return message;
     }
 }
--- a/src/main/java/myrtleladder/protocol/StoredState.java
+++ b/src/main/java/myrtleladder/protocol/StoredState.java
@@ -27,9 +27,15 @@
      */
     public List<InstanceRecord> instances = new ArrayList<>();
 
+    /**
+     * The candidate to which {@link #promisedEpoch} was promised, this node itself included; null
+     * if the state was stored by a version that did not store it.
+     */
+    public Member promisedCandidate;
+
     /** The same with the upstreams known now. */
     public StoredState withInstances(List<InstanceRecord> known) {
-        StoredState state = of(storeId, promisedEpoch, acceptedView, snapshot);
+        StoredState state = copyWithoutInstances();
         state.instances = new ArrayList<>(known);
         return state;
     }
@@ -45,18 +51,39 @@
         return state;
     }
 
+    /** Returns whether an epoch is the one promised last, and was promised to this candidate. */
+    public boolean hasPromised(long epoch, Member candidate) {
+        return epoch == promisedEpoch && candidate.equals(promisedCandidate);
+    }
+
     /** The same with another promise. */
-    public StoredState withPromisedEpoch(long epoch) {
-        return of(storeId, epoch, acceptedView, snapshot);
+    public StoredState withPromise(long epoch, Member candidate) {
+        StoredState state = copyWithoutInstances();
+        state.promisedEpoch = epoch;
+        state.promisedCandidate = candidate;
+        return state;
     }
 
-    /** The same with an accepted view, and its epoch promised. */
+    /** The same with an accepted view, and its epoch promised to its primary unless it is lower. */
     public StoredState withAcceptedView(View view) {
-        return of(storeId, Math.max(promisedEpoch, view.epoch), view, snapshot);
+        StoredState state =
+                view.epoch >= promisedEpoch
+                        ? withPromise(view.epoch, view.primary)
+                        : copyWithoutInstances();
+        state.acceptedView = view;
+        return state;
     }
 
     /** The same with other replicated state. */
     public StoredState withSnapshot(Snapshot next) {
-        return of(storeId, promisedEpoch, acceptedView, next);
+        StoredState state = copyWithoutInstances();
+        state.snapshot = next;
+        return state;
+    }
+
+    private StoredState copyWithoutInstances() {
+        StoredState state = of(storeId, promisedEpoch, acceptedView, snapshot);
+        state.promisedCandidate = promisedCandidate;
+        return state;
     }
 }
--- a/src/main/java/myrtleladder/protocol/View.java
+++ b/src/main/java/myrtleladder/protocol/View.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A view in the sense of viewstamped replication: the primary, the replicas and the voting group
@@ -57,6 +58,15 @@
         return group.size() == previousGroup.size() && group.containsAll(previousGroup);
     }
 
+    /** Whether all parts of another view equal those of this one. */
+    public boolean isSameAs(View other) {
+        return other.epoch == epoch
+                && Objects.equals(other.primary, primary)
+                && other.replicas.equals(replicas)
+                && other.group.equals(group)
+                && other.previousGroup.equals(previousGroup);
+    }
+
     private static boolean majority(List<Member> voters, Collection<Member> members) {
         long count = voters.stream().filter(members::contains).count();
         return count > voters.size() / 2;
--- a/src/main/java/myrtleladder/replication/CandidateState.java
+++ b/src/main/java/myrtleladder/replication/CandidateState.java
@@ -221,7 +221,9 @@
         requestedAddresses.clear();
         epoch = Math.max(epoch, nextEpoch());
         context.persistentState()
-                .save(context.storedState().withPromisedEpoch(epoch), this::onOwnPromiseSaved);
+                .save(
+                        context.storedState().withPromise(epoch, context.self()),
+                        this::onOwnPromiseSaved);
     }
 
     private void onOwnPromiseSaved(boolean saved) {
--- a/src/main/java/myrtleladder/replication/Replica.java
+++ b/src/main/java/myrtleladder/replication/Replica.java
@@ -65,6 +65,7 @@
 
     private final ReplicaContext context;
     private final QuorumState quorum;
+    private final EpochConflicts epochConflicts = new EpochConflicts();
     private final VoterRequestHandler voterRequestHandler;
     private final RolePoller rolePoller;
     private final List<InstanceRecord> instancesAtStart;
@@ -110,7 +111,8 @@
                         new MembershipRequests(),
                         new UnresponsiveReplicas(scheduler));
         this.quorum = new QuorumState(context, listener);
-        this.voterRequestHandler = new VoterRequestHandler(context, quorum, listener);
+        this.voterRequestHandler =
+                new VoterRequestHandler(context, quorum, listener, epochConflicts);
         this.rolePoller = new RolePoller(context, quorum);
         this.instancesAtStart = initial.instances;
         this.isStoreIdSaved = stored != null;
@@ -172,6 +174,14 @@
         return context.storedState().promisedEpoch;
     }
 
+    /**
+     * Returns the number of rejected requests from a second member that acts as the candidate or
+     * primary of one epoch. It stays 0 unless the protocol is violated.
+     */
+    public long epochConflicts() {
+        return epochConflicts.count();
+    }
+
     /**
      * Returns the replicated state. It is committed if this node is primary and no change is in
      * flight.
--- a/src/main/java/myrtleladder/replication/ViewInstaller.java
+++ b/src/main/java/myrtleladder/replication/ViewInstaller.java
@@ -56,6 +56,7 @@
                         member.address,
                         InstallStateRequest.of(
                                 view.epoch,
+                                context.self(),
                                 context.storedState().snapshot,
                                 promises.mergedInstances()),
                         ReplicationTiming.STORAGE_TIMEOUT_MS,
--- a/src/main/java/myrtleladder/replication/VoterRequestHandler.java
+++ b/src/main/java/myrtleladder/replication/VoterRequestHandler.java
@@ -19,22 +19,26 @@
  * Handles the requests of candidates and primaries in every role of this node (the acceptor of
  * Paxos).
  *
- * <p>Invariants: once an epoch is promised, requests with lower epochs are rejected. A positive
- * response is sent only after the state that it confirms was saved; if the save failed, no response
- * (null) is sent. Confined to the event loop; called only by {@link Replica}.
+ * <p>Invariants: an epoch is promised to one candidate, which may be this node itself, and at most
+ * one view of it is accepted. Once an epoch is promised, requests with lower epochs are rejected. A
+ * positive response is sent only after the state that it confirms was saved; if the save failed, no
+ * response (null) is sent. Confined to the event loop; called only by {@link Replica}.
  */
 final class VoterRequestHandler {
     private final ReplicaContext context;
     private final QuorumState quorum;
     private final Replica.Listener listener;
+    private final EpochConflicts epochConflicts;
 
-    /** The candidate to which this process last promised an epoch, null if none. */
-    private Member promisedCandidate;
-
-    VoterRequestHandler(ReplicaContext context, QuorumState quorum, Replica.Listener listener) {
+    VoterRequestHandler(
+            ReplicaContext context,
+            QuorumState quorum,
+            Replica.Listener listener,
+            EpochConflicts epochConflicts) {
         this.context = context;
         this.quorum = quorum;
         this.listener = listener;
+        this.epochConflicts = epochConflicts;
     }
 
     /** Handles a request if it is one of a candidate or primary. Returns whether it is. */
@@ -63,18 +67,28 @@
                             && !quorum.hasContactWithOtherPrimary(request.candidate);
             answer.accept(prepareResponse(granted));
         } else if (request.epoch > promised) {
-            promisedCandidate = request.candidate;
             quorum.onEpochPrepared(request.epoch, request.candidate);
-            savePromise(stored().withPromisedEpoch(request.epoch), answer);
-        } else if (request.epoch == promised && request.candidate.equals(promisedCandidate)) {
-            savePromise(stored(), answer); // a retry: the first response was lost
+            savePromise(stored().withPromise(request.epoch, request.candidate), answer);
+        } else if (isRetry(request)) {
+            savePromise(stored(), answer);
         } else {
             answer.accept(prepareResponse(false));
         }
     }
 
+    /** Returns whether the promise was granted before and the candidate may not know. */
+    private boolean isRetry(PrepareRequest request) {
+        return stored().hasPromised(request.epoch, request.candidate)
+                && !hasAcceptedViewOf(request.epoch);
+    }
+
+    private boolean hasAcceptedViewOf(long epoch) {
+        View accepted = stored().acceptedView;
+        return accepted != null && accepted.epoch == epoch;
+    }
+
     private void handleInstallState(InstallStateRequest request, Consumer<Message> answer) {
-        if (request.epoch != stored().promisedEpoch) {
+        if (!mayInstall(request)) {
             answer.accept(acknowledgement(false));
             return;
         }
@@ -86,8 +100,32 @@
                         saved -> answer.accept(saved ? acknowledgement(true) : null));
     }
 
+    private boolean mayInstall(InstallStateRequest request) {
+        if (request.epoch != stored().promisedEpoch) {
+            return false;
+        }
+        if (conflictsWithPromise(request.candidate)) {
+            epochConflicts.record(request.epoch, request.candidate, "a state to install");
+            return false;
+        }
+        boolean senderIsKnown = request.candidate == null || stored().promisedCandidate != null;
+        return senderIsKnown && !hasAcceptedViewOf(request.epoch);
+    }
+
+    /**
+     * Returns whether the last promise was given to another member than the sender of an install
+     * request. A sender whose version does not name it (null) can be any member but this one.
+     */
+    private boolean conflictsWithPromise(Member candidate) {
+        Member holder = stored().promisedCandidate;
+        if (candidate == null) {
+            return context.self().equals(holder);
+        }
+        return holder != null && !holder.equals(candidate);
+    }
+
     private void handleAcceptView(View view, Consumer<Message> answer) {
-        if (view.epoch < stored().promisedEpoch) {
+        if (isRejected(view)) {
             answer.accept(acknowledgement(false));
             return;
         }
@@ -95,8 +133,20 @@
         saveAndAcknowledge(stored().withAcceptedView(view), answer);
     }
 
+    /** Returns whether a view is older than the promise or conflicts with the accepted view. */
+    private boolean isRejected(View view) {
+        if (view.epoch < stored().promisedEpoch) {
+            return true;
+        }
+        boolean conflicts = hasAcceptedViewOf(view.epoch) && !stored().acceptedView.isSameAs(view);
+        if (conflicts) {
+            epochConflicts.record(view.epoch, view.primary, "another view of the epoch");
+        }
+        return conflicts;
+    }
+
     private void handleReplicate(ReplicateRequest request, Consumer<Message> answer) {
-        if (!isReplicaOfEpoch(request.epoch)) {
+        if (!isBackupOfEpoch(request.epoch)) {
             answer.accept(acknowledgement(false));
             return;
         }
@@ -106,19 +156,23 @@
     }
 
     /**
-     * Returns whether this node accepted a view of this epoch as a replica and has promised no
-     * later epoch.
+     * Returns whether this node accepted a view of this epoch as a replica under another primary
+     * and has promised no later epoch.
      */
-    private boolean isReplicaOfEpoch(long epoch) {
+    private boolean isBackupOfEpoch(long epoch) {
+        if (!hasAcceptedViewOf(epoch) || stored().promisedEpoch != epoch) {
+            return false;
+        }
         View accepted = stored().acceptedView;
-        return accepted != null
-                && accepted.epoch == epoch
-                && stored().promisedEpoch == epoch
-                && accepted.replicas.contains(context.self());
+        if (context.self().equals(accepted.primary)) {
+            epochConflicts.record(epoch, null, "a change of an epoch of this node");
+            return false;
+        }
+        return accepted.replicas.contains(context.self());
     }
 
     private void handleHeartbeat(View view, Consumer<Message> answer) {
-        if (view.epoch < stored().promisedEpoch) {
+        if (isRejected(view)) {
             answer.accept(acknowledgement(false));
             return;
         }
@@ -144,12 +198,13 @@
     }
 
     private void savePromise(StoredState next, Consumer<Message> answer) {
-        long epoch = next.promisedEpoch;
         context.persistentState()
                 .save(
                         next,
                         saved -> {
-                            boolean stillPromised = stored().promisedEpoch == epoch;
+                            boolean stillPromised =
+                                    stored().hasPromised(
+                                                    next.promisedEpoch, next.promisedCandidate);
                             answer.accept(saved ? prepareResponse(stillPromised) : null);
                         });
     }
--- a/src/test/java/myrtleladder/controlplane/ControlAnswersCompatibilityTest.java
+++ b/src/test/java/myrtleladder/controlplane/ControlAnswersCompatibilityTest.java
@@ -175,7 +175,14 @@
         assertEquals("application/json", call.headers.get("Content-Type"));
         Map<String, Object> fields = JSON.readerForMapOf(Object.class).readValue(call.responseBody);
         assertEquals(
-                List.of("balancers", "epoch", "generation", "state", "upstreams", "view"),
+                List.of(
+                        "balancers",
+                        "epoch",
+                        "epoch_conflicts",
+                        "generation",
+                        "state",
+                        "upstreams",
+                        "view"),
                 fields.keySet().stream().sorted().toList());
         assertGolden("status.json", JSON.writeValueAsString(new TreeMap<>(fields)));
     }
--- a/src/test/java/myrtleladder/controlplane/StateStoreCompatibilityTest.java
+++ b/src/test/java/myrtleladder/controlplane/StateStoreCompatibilityTest.java
@@ -16,6 +16,7 @@
 import myrtleladder.configuration.ConfigurationDocument;
 import myrtleladder.protocol.InstanceRecord;
 import myrtleladder.protocol.InstanceRecord.Stage;
+import myrtleladder.protocol.Member;
 import myrtleladder.protocol.StoredState;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -116,12 +117,13 @@
     void aNodeSavesTheNextGenerationAndLoadsItAgain(int node, long epoch, long generation)
             throws IOException {
         StateStore store = copyOf("core-" + node);
-        store.save(store.load().withPromisedEpoch(99));
+        Member candidate = Member.of("10.0.0.9:8367", "10.0.0.9:8368", "store-core-9");
+        store.save(store.load().withPromise(99, candidate));
         assertEquals(
                 List.of(name(generation), name(generation + 1)),
                 files(folder).stream().map(f -> f.getFileName().toString()).toList());
         StoredState again = new StateStore(folder).load();
-        assertEquals(99, again.promisedEpoch);
+        assertTrue(again.hasPromised(99, candidate));
         assertEquals(epoch, again.acceptedView.epoch);
     }
 
--- a/src/test/java/myrtleladder/protocol/MessageCompatibilityTest.java
+++ b/src/test/java/myrtleladder/protocol/MessageCompatibilityTest.java
@@ -217,6 +217,20 @@
         assertInstances(install.instances);
     }
 
+    /** The golden files were written by a version without these fields. */
+    @Test
+    void theHolderOfAPromiseAndTheSenderOfAStateAreWrittenAndReadAgain() {
+        Member candidate = SampleMessages.member("candidate");
+        StoredState stored = SampleMessages.storedState().withPromise(101, candidate);
+        StoredState loaded = (StoredState) MessageCodec.decode(MessageCodec.encode(stored));
+        assertTrue(loaded.hasPromised(101, candidate));
+        assertMember("candidate", loaded.promisedCandidate);
+        Message install =
+                InstallStateRequest.of(103, candidate, SampleMessages.snapshot(), List.of());
+        Message received = MessageCodec.decode(MessageCodec.encode(install));
+        assertMember("candidate", ((InstallStateRequest) received).candidate);
+    }
+
     @Test
     void theMessagesOfAPrimaryAreReadWhole() throws IOException {
         assertView(104, MessageCompatibilityTest.<AcceptViewRequest>read("accept").view);
--- a/src/test/java/myrtleladder/protocol/SampleMessages.java
+++ b/src/test/java/myrtleladder/protocol/SampleMessages.java
@@ -15,7 +15,7 @@
         all.put("stored-state", storedState());
         all.put("prepare", PrepareRequest.of(101, member("candidate"), true));
         all.put("promise", promise());
-        all.put("install", InstallStateRequest.of(103, snapshot(), instances()));
+        all.put("install", InstallStateRequest.of(103, null, snapshot(), instances()));
         all.put("accept", AcceptViewRequest.of(view(104)));
         all.put("replicate", ReplicateRequest.of(105, new byte[] {9, 8, 7}, 1_005, "order-5"));
         all.put("heartbeat", HeartbeatRequest.of(view(106)));
@@ -130,7 +130,7 @@
                 .withWeightsVersion(ordinal + 300);
     }
 
-    private static StoredState storedState() {
+    static StoredState storedState() {
         return StoredState.of("store-own", 100, view(99), snapshot()).withInstances(instances());
     }
 
--- a/src/test/java/myrtleladder/replication/LeaveRequesterTest.java
+++ b/src/test/java/myrtleladder/replication/LeaveRequesterTest.java
@@ -5,10 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.function.Function;
-import myrtleladder.protocol.InstanceRecord;
 import myrtleladder.protocol.LeaveRequest;
 import myrtleladder.protocol.LeaveResponse;
 import myrtleladder.protocol.Member;
@@ -27,24 +25,6 @@
     private final Member third = Member.of("third:1", "third:2", "third");
     private final List<Boolean> outcomes = new ArrayList<>();
 
-    /** These tests do not observe the role. */
-    private static final class NoOpListener implements Replica.Listener {
-        @Override
-        public void onPrimacyGained(Collection<InstanceRecord> instances) {
-            // not of interest
-        }
-
-        @Override
-        public void onPrimacyLost() {
-            // not of interest
-        }
-
-        @Override
-        public void onInstancesReceived(Collection<InstanceRecord> instances) {
-            // not of interest
-        }
-    }
-
     private View view(long epoch, Member... group) {
         return View.of(epoch, other, List.of(other), List.of(group), List.of(group));
     }
--- a/src/test/java/myrtleladder/replication/PersistentStateTest.java
+++ b/src/test/java/myrtleladder/replication/PersistentStateTest.java
@@ -40,7 +40,8 @@
 
     @Test
     void stateIsCurrentBeforeItIsDurable() {
-        state.save(initial.withPromisedEpoch(5), saved -> events.add("saved"));
+        Member candidate = Member.of("b:1", "b:2", "other-store");
+        state.save(initial.withPromise(5, candidate), saved -> events.add("saved"));
         assertEquals(5, state.current().promisedEpoch);
         assertFalse(state.isIdle());
         assertEquals(List.of(), events);
--- a/src/test/java/myrtleladder/replication/ReplicaTest.java
+++ b/src/test/java/myrtleladder/replication/ReplicaTest.java
@@ -248,7 +248,8 @@
         View other = View.of(view.epoch, primary, view.group, view.group, view.group);
         return List.of(
                 ReplicateRequest.of(view.epoch, document, 99, "late"),
-                InstallStateRequest.of(view.epoch, Snapshot.of(document, 99, List.of()), List.of()),
+                InstallStateRequest.of(
+                        view.epoch, primary, Snapshot.of(document, 99, List.of()), List.of()),
                 AcceptViewRequest.of(other),
                 HeartbeatRequest.of(view));
     }
