Give a candidacy up for a later view whose group excludes the candidate

A candidate or primary that is sent a later view became follower only if the view's group includes it. Otherwise it stayed candidate, and ViewInstaller then accepted its own, older view: the accepted epoch fell from 4 to 3.

Change: such a node goes to JOINING, and ViewInstaller gives up unless the epoch is still promised to this node.

--- a/src/main/java/myrtleladder/replication/QuorumState.java
+++ b/src/main/java/myrtleladder/replication/QuorumState.java
@@ -17,9 +17,10 @@
  *   FOLLOWER  -> CANDIDATE  election timeout, or the primary resigned
  *   CANDIDATE -> PRIMARY    its view is installed
  *   CANDIDATE -> FOLLOWER   the attempt failed, or another member prepared an epoch
- *   CANDIDATE -> JOINING    the attempt failed, and this node is no longer a member
+ *   CANDIDATE -> JOINING    this node is no longer a member
  *   PRIMARY   -> CANDIDATE  a view change is due; a change in flight continues
  *   PRIMARY   -> FOLLOWER   it resigned, or another member prepared an epoch
+ *   PRIMARY   -> JOINING    this node is no longer a member
  * </pre>
  *
  * <p>Invariants: a transition makes the new role current before the callbacks of the old one run. A
@@ -232,8 +233,10 @@
     void onPrimaryContact(View view) {
         onViewLearned(view);
         context.electionTimer().onPrimaryContact();
-        if (!(role instanceof FollowerState) && view.group.contains(context.self())) {
+        if (view.group.contains(context.self())) {
             transitionToFollower("following primary " + view.primary);
+        } else if (isPrimary() || isCandidate()) {
+            transitionToJoining("not in the group of the view " + view);
         }
     }
 
--- a/src/main/java/myrtleladder/replication/ViewInstaller.java
+++ b/src/main/java/myrtleladder/replication/ViewInstaller.java
@@ -14,8 +14,9 @@
  * itself to its group and the previous group. The view is installed once all replicas and
  * majorities of both groups have accepted it (Paxos phase 2).
  *
- * <p>Invariant: the view is sent to no member before all replicas of the view have saved the state.
- * Confined to the event loop; {@link CandidateState} creates one instance for each view.
+ * <p>Invariants: the view is sent to no member before all replicas of the view have saved the
+ * state, nor once this node has promised its epoch, or a later one, to another member. Confined to
+ * the event loop; {@link CandidateState} creates one instance for each view.
  */
 final class ViewInstaller {
     private final ReplicaContext context;
@@ -82,6 +83,10 @@
         if (installedReplicas.size() < view.replicas.size()) {
             return;
         }
+        if (!context.storedState().hasPromised(view.epoch, context.self())) {
+            quorum.onCandidacyFailed("epoch " + view.epoch + " is no longer promised to it", true);
+            return;
+        }
         candidate.enterPhase(CandidateState.Phase.ACCEPTING);
         context.persistentState()
                 .save(context.storedState().withAcceptedView(view), this::onOwnAcceptanceSaved);
--- a/src/test/java/myrtleladder/replication/EpochPromiseTest.java
+++ b/src/test/java/myrtleladder/replication/EpochPromiseTest.java
@@ -223,6 +223,23 @@
         assertFalse(isAccepted(install(OWN_EPOCH, former)));
     }
 
+    /**
+     * Guards against a forgotten view: a candidate whose group a later view replaced stayed
+     * candidate, and accepted its own older view afterwards.
+     */
+    @ParameterizedTest
+    @EnumSource(names = {"PREPARING", "INSTALLING"})
+    void candidateGivesUpForALaterViewWhoseGroupDoesNotIncludeIt(Progress progress) {
+        standForOwnEpoch(progress);
+        List<Member> others = List.of(former, third);
+        View later = View.of(OWN_EPOCH + 1, former, others, others, others);
+        assertTrue(isAccepted(HeartbeatRequest.of(later)));
+        List.copyOf(calls)
+                .forEach(c -> c.answer.accept(AcknowledgeResponse.of(true, OWN_EPOCH, third)));
+        assertEquals(OWN_EPOCH + 1, durable.acceptedView.epoch);
+        assertEquals(Replica.State.JOINING, replica.state());
+    }
+
     /** Guards against overwritten changes: a late request replaced the state of a running view. */
     @Test
     void stateIsNotInstalledOnceTheViewIsAccepted() {
