Check each step of the protocol in the model; heal links one after the other

Links were cut and healed all at once, cuts dropped what real links hold back, and invariants were checked at the outcome alone.

Change: ProtocolChecker checks each promise, accepted view and replaced state of each node. SimulatedNetwork can hold messages back until a link is healed. The fault LINKS_HEALED_IN_TURN and a scenario of PartitionTest use it. The safeguard ONE_PROMISE_PER_EPOCH is taken out like the others.

--- a/src/test/java/myrtleladder/controlplane/model/FaultInjector.java
+++ b/src/test/java/myrtleladder/controlplane/model/FaultInjector.java
@@ -34,6 +34,7 @@
         KILL_ALL,
         POWER_OFF_ALL,
         HALVES,
+        LINKS_HEALED_IN_TURN,
         SECOND_PARTITION
     }
 
@@ -95,6 +96,7 @@
                     injectFor(
                             cluster.nodes(), SimulatedNode::powerOff, 300 + random.nextInt(1_000));
             case HALVES -> partitionHalves();
+            case LINKS_HEALED_IN_TURN -> healLinksInTurn(victims.get(0));
             case SECOND_PARTITION -> secondPartition(victims);
             default -> throw new IllegalStateException(fault.toString());
         }
@@ -209,6 +211,27 @@
         injectFor(victims, v -> v.disk().setMode(mode), 1_000 + random.nextInt(8_000));
     }
 
+    /** Partitions one machine from all others, then heals its links in random order. */
+    private void healLinksInTurn(SimulatedNode victim) {
+        boolean holdsBack = random.nextBoolean();
+        List<SimulatedNode> others = new ArrayList<>(cluster.nodes());
+        others.remove(victim);
+        for (SimulatedNode other : others) {
+            if (holdsBack) {
+                cluster.network.holdBack(victim.address, other.address);
+            } else {
+                cluster.network.partition(victim.address, other.address);
+            }
+        }
+        cluster.clock.run(400 + random.nextInt(1_100));
+        while (!others.isEmpty()) {
+            SimulatedNode healed = others.remove(random.nextInt(others.size()));
+            cluster.network.heal(victim.address, healed.address);
+            cluster.clock.run(random.nextInt(1_500));
+        }
+        cluster.heal();
+    }
+
     private void partitionHalves() {
         List<SimulatedNode> nodes = cluster.nodes();
         for (SimulatedNode one : nodes.subList(0, nodes.size() / 2)) {
--- a/src/test/java/myrtleladder/controlplane/model/HistoryChecker.java
+++ b/src/test/java/myrtleladder/controlplane/model/HistoryChecker.java
@@ -90,6 +90,12 @@
         acknowledgementCount++;
     }
 
+    /** Whether an operator received an acknowledgement of the change that made a document. */
+    boolean isAcknowledged(long generation, byte[] document) {
+        String acknowledged = changeByGeneration.get(generation);
+        return acknowledged != null && acknowledged.equals(OperatorChange.nameIn(document));
+    }
+
     /** Records that an operator received a rejection. */
     void recordRejected(OperatorChange change, int status) {
         rejectedChanges.add(change.name());
--- a/src/test/java/myrtleladder/controlplane/model/MessageForger.java
+++ b/src/test/java/myrtleladder/controlplane/model/MessageForger.java
@@ -107,6 +107,17 @@
         return message;
     }
 
+    /** Modifies a response before it is sent. */
+    void tamperResponse(Message request, Message response) {
+        if (removedSafeguard == Safeguard.ONE_PROMISE_PER_EPOCH
+                && request instanceof PrepareRequest prepare
+                && response instanceof PrepareResponse promise
+                && !prepare.preVote
+                && promise.promisedEpoch == prepare.epoch) {
+            promise.granted = true;
+        }
+    }
+
     /** Raises the epoch of a message to the one that the node has promised. */
     private static void raiseEpoch(SimulatedNode node, Message message) {
         long promised = node.replica().epoch();
--- a/src/test/java/myrtleladder/controlplane/model/PartitionTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/PartitionTest.java
@@ -9,6 +9,8 @@
 
 /** Partitions of the leader and of half of the nodes, which are healed later. */
 class PartitionTest {
+    private static final int LAST_HEAL_MS = 2_000;
+
     @Test
     void partitionedLeaderStepsDownAndRejoinsAfterTheHeal() {
         for (int size : new int[] {3, 4, 5, 8}) {
@@ -31,6 +33,40 @@
         }
     }
 
+    /**
+     * Guards against two leaders of an epoch: a leader that was cut off asks for the epoch that its
+     * successor stands for, and overwrites the change that this one has acknowledged.
+     */
+    @Test
+    void leaderWhoseLinksAreHealedInTurnOverwritesNoChange() {
+        for (int firstHealMs = 400; firstHealMs <= 1_200; firstHealMs += 20) {
+            for (boolean holdsBack : new boolean[] {true, false}) {
+                healLinksOfLeaderInTurn(firstHealMs, holdsBack);
+            }
+        }
+    }
+
+    private static void healLinksOfLeaderInTurn(int firstHealMs, boolean holdsBack) {
+        SimulatedCluster cluster = Scenarios.startCluster(firstHealMs, 3);
+        SimulatedNode leader = cluster.leader();
+        List<SimulatedNode> others = Scenarios.copyOfNodes(cluster);
+        others.remove(leader);
+        for (SimulatedNode other : others) {
+            if (holdsBack) {
+                cluster.network.holdBack(leader.address, other.address);
+            } else {
+                cluster.network.partition(leader.address, other.address);
+            }
+        }
+        cluster.clock.run(firstHealMs);
+        cluster.network.heal(leader.address, others.get(0).address);
+        cluster.clock.run(LAST_HEAL_MS - firstHealMs);
+        cluster.network.heal(leader.address, others.get(1).address);
+        cluster.clock.run(Scenarios.CATCH_UP_MS);
+        Scenarios.expectRecovered(
+                cluster, "after links were healed in turn, the first at " + firstHealMs);
+    }
+
     @Test
     void minorityHasNoLeader() {
         for (int size : new int[] {3, 4, 5, 8}) {
--- a/src/test/java/myrtleladder/controlplane/model/Safeguard.java
+++ b/src/test/java/myrtleladder/controlplane/model/Safeguard.java
@@ -14,6 +14,8 @@
     MAJORITY_OF_GROUP,
     /** A reconfiguration also needs a majority of the previous group. */
     MAJORITY_OF_PREVIOUS_GROUP,
+    /** A member promises an epoch to a single candidate. */
+    ONE_PROMISE_PER_EPOCH,
     /** Messages of lower epochs are rejected. */
     EPOCH_IN_EACH_MESSAGE,
     /** A read waits until a majority has confirmed the primary. */
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedCluster.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedCluster.java
@@ -39,6 +39,7 @@
     final SplittableRandom random;
     final SimulatedNetwork network;
     final HistoryChecker history = new HistoryChecker();
+    final ProtocolChecker protocol = new ProtocolChecker(history);
 
     /** How many machines may be lost at once. */
     final int toleratedMachines;
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedProcess.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedProcess.java
@@ -36,6 +36,7 @@
     private final SimulatedNode node;
     private final ControlPlane plane;
     private final Replica replica;
+    private StoredState lastState;
     private boolean hasEnded;
 
     /**
@@ -59,6 +60,7 @@
         if (cluster.hasTallies()) {
             plane.setTallies(tallies(isBootstrap, newStore));
         }
+        this.lastState = node.disk().load();
         this.replica =
                 new Replica(
                         new ReplicaOptions(
@@ -67,7 +69,7 @@
                                 isBootstrap,
                                 cluster.seeds(),
                                 SimulatedCluster.CATCH_UP_MS),
-                        node.disk().load(),
+                        lastState,
                         newStore,
                         this,
                         this,
@@ -145,6 +147,8 @@
         if (!passFaultPoint()) {
             return;
         }
+        cluster.protocol.checkSave(node.address, lastState, state);
+        lastState = state;
         node.disk().save(state, () -> !hasEnded, isSaved -> run(() -> onSaved(isSaved, done)));
     }
 
@@ -167,6 +171,7 @@
 
     @Override
     public void call(String to, Message message, long timeoutMs, Consumer<Message> responder) {
+        cluster.protocol.checkSent(replica.self(), message);
         byte[] bytes = MessageCodec.encode(message);
         FirstResponse first = new FirstResponse(response -> run(() -> responder.accept(response)));
         cluster.clock.schedule(timeoutMs, () -> first.accept(null));
@@ -188,18 +193,20 @@
         run(
                 () -> {
                     if (passFaultPoint()) {
-                        Message message = MessageCodec.decode(bytes);
+                        Message message = cluster.forger().tamper(node, MessageCodec.decode(bytes));
                         plane.receive(
-                                cluster.forger().tamper(node, message),
-                                response -> respond(response, from, responder));
+                                message, response -> respond(message, response, from, responder));
                     }
                 });
     }
 
-    private void respond(Message response, String to, Consumer<Message> responder) {
+    private void respond(
+            Message request, Message response, String to, Consumer<Message> responder) {
         if (!passFaultPoint()) {
             return;
         }
+        cluster.forger().tamperResponse(request, response);
+        cluster.protocol.checkResponse(request, response);
         byte[] bytes = response == null ? null : MessageCodec.encode(response);
         cluster.network.carry(
                 node.address,
