Isolate nodes of the model and create prepare responses in one place each

Need: eight tests and faults of the model partitioned one node from all others with a loop of their own, and five places filled a PrepareResponse by hand. Operators are told that epoch_conflicts is always 0; nothing checked it.

Change: SimulatedCluster.isolate, isolateHoldingBack and othersThan; PrepareResponse.of. ProtocolChecker also fails a schedule in which the counter is not 0.

--- a/src/main/java/myrtleladder/protocol/PrepareResponse.java
+++ b/src/main/java/myrtleladder/protocol/PrepareResponse.java
@@ -1,6 +1,7 @@
 package myrtleladder.protocol;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 
 /**
@@ -22,4 +23,20 @@
 
     /** Upstream records that it knows; empty if the epoch was not granted. */
     public List<InstanceRecord> instances = new ArrayList<>();
+
+    /** Creates a message with these fields. */
+    public static PrepareResponse of(
+            boolean granted,
+            long promisedEpoch,
+            Member member,
+            View acceptedView,
+            Collection<InstanceRecord> instances) {
+        PrepareResponse message = new PrepareResponse();
+        message.granted = granted;
+        message.promisedEpoch = promisedEpoch;
+        message.member = member;
+        message.acceptedView = acceptedView;
+        message.instances = new ArrayList<>(instances);
+        return message;
+    }
 }
--- a/src/main/java/myrtleladder/replication/VoterRequestHandler.java
+++ b/src/main/java/myrtleladder/replication/VoterRequestHandler.java
@@ -1,6 +1,6 @@
 package myrtleladder.replication;
 
-import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 import myrtleladder.protocol.AcceptViewRequest;
 import myrtleladder.protocol.AcknowledgeResponse;
@@ -210,13 +210,11 @@
     }
 
     private PrepareResponse prepareResponse(boolean granted) {
-        PrepareResponse response = new PrepareResponse();
-        response.granted = granted;
-        response.promisedEpoch = stored().promisedEpoch;
-        response.member = context.self();
-        response.acceptedView = stored().acceptedView;
-        response.instances =
-                granted ? new ArrayList<>(context.knownInstances().get()) : new ArrayList<>();
-        return response;
+        return PrepareResponse.of(
+                granted,
+                stored().promisedEpoch,
+                context.self(),
+                stored().acceptedView,
+                granted ? context.knownInstances().get() : List.of());
     }
 }
--- a/src/test/java/myrtleladder/controlplane/ControlAnswersCompatibilityTest.java
+++ b/src/test/java/myrtleladder/controlplane/ControlAnswersCompatibilityTest.java
@@ -111,11 +111,7 @@
     private static Message reply(String to, Message message) {
         Member peer = Member.of(to, to.replace(":1", ":2"), "first-" + to);
         if (message instanceof PrepareRequest prepare) {
-            PrepareResponse promise = new PrepareResponse();
-            promise.granted = true;
-            promise.promisedEpoch = prepare.epoch;
-            promise.member = peer;
-            return promise;
+            return PrepareResponse.of(true, prepare.epoch, peer, null, List.of());
         }
         boolean known =
                 message instanceof AcceptViewRequest
--- a/src/test/java/myrtleladder/controlplane/model/FaultInjector.java
+++ b/src/test/java/myrtleladder/controlplane/model/FaultInjector.java
@@ -213,17 +213,13 @@
 
     /** Partitions one machine from all others, then heals its links in random order. */
     private void healLinksInTurn(SimulatedNode victim) {
-        boolean holdsBack = random.nextBoolean();
-        List<SimulatedNode> others = new ArrayList<>(cluster.nodes());
-        others.remove(victim);
-        for (SimulatedNode other : others) {
-            if (holdsBack) {
-                cluster.network.holdBack(victim.address, other.address);
-            } else {
-                cluster.network.partition(victim.address, other.address);
-            }
+        if (random.nextBoolean()) {
+            cluster.isolateHoldingBack(victim);
+        } else {
+            cluster.isolate(victim);
         }
         cluster.clock.run(400 + random.nextInt(1_100));
+        List<SimulatedNode> others = cluster.othersThan(victim);
         while (!others.isEmpty()) {
             SimulatedNode healed = others.remove(random.nextInt(others.size()));
             cluster.network.heal(victim.address, healed.address);
@@ -251,12 +247,7 @@
         List<SimulatedNode> nodes = cluster.nodes();
         victims.forEach(SimulatedNode::kill);
         cluster.clock.run(random.nextInt(1_500));
-        SimulatedNode other = nodes.get(random.nextInt(nodes.size()));
-        for (SimulatedNode node : nodes) {
-            if (node != other) {
-                cluster.network.partition(node.address, other.address);
-            }
-        }
+        cluster.isolate(nodes.get(random.nextInt(nodes.size())));
         cluster.clock.run(500 + random.nextInt(2_500));
         cluster.heal();
         cluster.clock.run(1_000);
--- a/src/test/java/myrtleladder/controlplane/model/FaultPointTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/FaultPointTest.java
@@ -164,19 +164,11 @@
                 case KILL -> node.kill();
                 case WIPE -> node.wipe();
                 case FREEZE -> node.freeze(FAULT_DURATION_MS);
-                case PARTITION -> partition(node);
+                case PARTITION -> cluster.isolate(node);
                 default -> throw new IllegalStateException(fault.toString());
             }
         }
 
-        private void partition(SimulatedNode node) {
-            for (SimulatedNode other : cluster.nodes()) {
-                if (other != node) {
-                    cluster.network.partition(node.address, other.address);
-                }
-            }
-        }
-
         /**
          * A disk lost during a replacement, or with another fault, may exceed what is tolerated.
          */
--- a/src/test/java/myrtleladder/controlplane/model/MessageForger.java
+++ b/src/test/java/myrtleladder/controlplane/model/MessageForger.java
@@ -55,11 +55,7 @@
 
     private static Message vote(Message message, Member called) {
         if (message instanceof PrepareRequest prepare) {
-            PrepareResponse promise = new PrepareResponse();
-            promise.granted = true;
-            promise.promisedEpoch = prepare.epoch;
-            promise.member = called;
-            return promise;
+            return PrepareResponse.of(true, prepare.epoch, called, null, List.of());
         }
         return message instanceof AcceptViewRequest accept
                 ? acknowledgement(accept.view.epoch, called)
--- a/src/test/java/myrtleladder/controlplane/model/PartitionTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/PartitionTest.java
@@ -16,11 +16,7 @@
         for (int size : new int[] {3, 4, 5, 8}) {
             SimulatedCluster cluster = Scenarios.startCluster(size, size);
             SimulatedNode leader = cluster.leader();
-            for (SimulatedNode other : Scenarios.copyOfNodes(cluster)) {
-                if (other != leader) {
-                    cluster.network.partition(leader.address, other.address);
-                }
-            }
+            cluster.isolate(leader);
             cluster.clock.run(Scenarios.FAILOVER_MS);
             cluster.expectAcknowledgement(
                     Scenarios.AVAILABILITY_TIMEOUT_MS, "while the leader is partitioned");
@@ -49,14 +45,11 @@
     private static void healLinksOfLeaderInTurn(int firstHealMs, boolean holdsBack) {
         SimulatedCluster cluster = Scenarios.startCluster(firstHealMs, 3);
         SimulatedNode leader = cluster.leader();
-        List<SimulatedNode> others = Scenarios.copyOfNodes(cluster);
-        others.remove(leader);
-        for (SimulatedNode other : others) {
-            if (holdsBack) {
-                cluster.network.holdBack(leader.address, other.address);
-            } else {
-                cluster.network.partition(leader.address, other.address);
-            }
+        List<SimulatedNode> others = cluster.othersThan(leader);
+        if (holdsBack) {
+            cluster.isolateHoldingBack(leader);
+        } else {
+            cluster.isolate(leader);
         }
         cluster.clock.run(firstHealMs);
         cluster.network.heal(leader.address, others.get(0).address);
--- a/src/test/java/myrtleladder/controlplane/model/ProtocolChecker.java
+++ b/src/test/java/myrtleladder/controlplane/model/ProtocolChecker.java
@@ -68,6 +68,13 @@
         }
     }
 
+    /** Checks the counter of conflicts, which operators are told to report unless it is 0. */
+    void checkConflicts(String address, long epochConflicts) {
+        if (epochConflicts > 0) {
+            history.addViolation(address + " counted " + epochConflicts + " epoch conflicts");
+        }
+    }
+
     /**
      * Checks a state that a process saves.
      *
--- a/src/test/java/myrtleladder/controlplane/model/ReconfigurationTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/ReconfigurationTest.java
@@ -107,11 +107,7 @@
                         .filter(n -> !leader.replica().view().replicas.contains(n.replica().self()))
                         .findFirst()
                         .orElseThrow();
-        for (SimulatedNode node : Scenarios.copyOfNodes(cluster)) {
-            if (node != other) {
-                cluster.network.partition(node.address, other.address);
-            }
-        }
+        cluster.isolate(other);
         cluster.clock.run(4_000);
         assertFalse(cluster.leader().group().contains(other.replica().self()));
         cluster.heal();
@@ -186,11 +182,7 @@
         SimulatedCluster cluster = Scenarios.startCluster(23, 5);
         cluster.replaceSeeds();
         SimulatedNode first = Scenarios.copyOfNodes(cluster).get(0);
-        for (SimulatedNode other : Scenarios.copyOfNodes(cluster)) {
-            if (other != first) {
-                cluster.network.partition(first.address, other.address);
-            }
-        }
+        cluster.isolate(first);
         cluster.clock.run(Scenarios.FAILOVER_MS);
         SimulatedNode added = cluster.addMachine();
         added.start(false);
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedCluster.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedCluster.java
@@ -183,6 +183,23 @@
         return nodes;
     }
 
+    /** All nodes but one, in a list that later changes do not affect. */
+    List<SimulatedNode> othersThan(SimulatedNode node) {
+        List<SimulatedNode> others = new ArrayList<>(nodes);
+        others.remove(node);
+        return others;
+    }
+
+    /** Partitions a node from all others; the messages between them are dropped. */
+    void isolate(SimulatedNode node) {
+        othersThan(node).forEach(other -> network.partition(node.address, other.address));
+    }
+
+    /** Partitions a node from all others; its links hold their messages back until healed. */
+    void isolateHoldingBack(SimulatedNode node) {
+        othersThan(node).forEach(other -> network.holdBack(node.address, other.address));
+    }
+
     /** Adds a machine with an empty disk at a new address; it is not started. */
     SimulatedNode addMachine() {
         SimulatedNode node = new SimulatedNode(this, nodeByAddress.size());
--- a/src/test/java/myrtleladder/controlplane/model/SimulatedProcess.java
+++ b/src/test/java/myrtleladder/controlplane/model/SimulatedProcess.java
@@ -207,6 +207,7 @@
         }
         cluster.forger().tamperResponse(request, response);
         cluster.protocol.checkResponse(request, response);
+        cluster.protocol.checkConflicts(node.address, replica.epochConflicts());
         byte[] bytes = response == null ? null : MessageCodec.encode(response);
         cluster.network.carry(
                 node.address,
--- a/src/test/java/myrtleladder/controlplane/model/TallyPartitionTest.java
+++ b/src/test/java/myrtleladder/controlplane/model/TallyPartitionTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -242,11 +241,8 @@
     @Test
     void mergeContinuesWhileThePrimaryChangesAndANodeIsReplaced() {
         SimulatedNode leader = cluster.leader();
-        List<SimulatedNode> others = new ArrayList<>(cluster.nodes());
-        others.remove(leader);
-        for (SimulatedNode other : others) {
-            cluster.network.partition(leader.address, other.address);
-        }
+        List<SimulatedNode> others = cluster.othersThan(leader);
+        cluster.isolate(leader);
         cluster.clock.run(DETECTION_MS);
         assertEquals(200, add(cluster.nodes().indexOf(leader), "a", 1));
         assertEquals(200, add(cluster.nodes().indexOf(others.get(0)), "b", 10));
--- a/src/test/java/myrtleladder/protocol/SampleMessages.java
+++ b/src/test/java/myrtleladder/protocol/SampleMessages.java
@@ -135,13 +135,7 @@
     }
 
     private static PrepareResponse promise() {
-        PrepareResponse promise = new PrepareResponse();
-        promise.granted = true;
-        promise.promisedEpoch = 102;
-        promise.member = member("voter");
-        promise.acceptedView = view(98);
-        promise.instances.addAll(instances());
-        return promise;
+        return PrepareResponse.of(true, 102, member("voter"), view(98), instances());
     }
 
     private static LoadReport report() {
--- a/src/test/java/myrtleladder/replication/EpochPromiseTest.java
+++ b/src/test/java/myrtleladder/replication/EpochPromiseTest.java
@@ -136,12 +136,7 @@
     }
 
     private PrepareResponse promiseOfThird() {
-        PrepareResponse promise = new PrepareResponse();
-        promise.granted = true;
-        promise.promisedEpoch = OWN_EPOCH;
-        promise.member = third;
-        promise.acceptedView = durable.acceptedView;
-        return promise;
+        return PrepareResponse.of(true, OWN_EPOCH, third, durable.acceptedView, List.of());
     }
 
     private void standForOwnEpoch(Progress progress) {
