Count refused clients by port and name those closed for unread answers

The log said only how often clients were refused for a reason: it told neither at which port, nor who, nor whether the client read at all.

Refusals are counted by port and reason (RefusalLog). A client that is closed because of an unread answer has a line of its own, at most one a second, with the bytes that wait, what they count as, and when the last were taken. ANSWER_SHED (memory of all clients used up) is told apart from ANSWER_NOT_READ (time limit); ServerResourcesTest expects the former where it expected the latter, as its client is closed for memory. Which clients are closed, and when, is unchanged.

--- a/src/main/java/myrtleladder/http/HttpServer.java
+++ b/src/main/java/myrtleladder/http/HttpServer.java
@@ -50,6 +50,7 @@
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("myrtleladder.server");
 
     private final EventLoop loop;
+    private final int port;
     private final Consumer<ServerExchange> handler;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private final ServerResources resources;
@@ -88,6 +89,7 @@
             ServerResources resources,
             Consumer<ServerExchange> handler) {
         this.loop = loop;
+        this.port = port;
         this.handler = handler;
         this.resources = resources;
         this.currentLimits = currentLimits;
@@ -152,6 +154,11 @@
         return count;
     }
 
+    /** Returns the port at which this server listens. */
+    int port() {
+        return port;
+    }
+
     RequestLimits limits() {
         return limits;
     }
--- a/src/main/java/myrtleladder/http/Refusal.java
+++ b/src/main/java/myrtleladder/http/Refusal.java
@@ -12,8 +12,10 @@
     TOO_MANY_PIPELINED,
     /** The requests of all clients need more memory than there is for them. */
     OUT_OF_MEMORY,
-    /** The client does not read its answer. */
+    /** The client took no byte of its answer within the time limit. */
     ANSWER_NOT_READ,
+    /** The memory of all clients was used up, and this client's unread answer weighed most. */
+    ANSWER_SHED,
     /** There are as many connections as the process may have. */
     TOO_MANY_CONNECTIONS
 }
--- a/src/main/java/myrtleladder/http/ServerConnection.java
+++ b/src/main/java/myrtleladder/http/ServerConnection.java
@@ -95,7 +95,7 @@
         }
         startReceiving();
         if (unparsedBytes > server.limits().maxHeaderBytes()) {
-            resources.count(Refusal.HEAD_TOO_LARGE);
+            count(Refusal.HEAD_TOO_LARGE);
             closeInputAndThenConnection();
             return false;
         }
@@ -205,7 +205,7 @@
         }
         pipelined.add(exchange);
         if (pipelined.size() > MAX_PIPELINED) {
-            resources.count(Refusal.TOO_MANY_PIPELINED);
+            count(Refusal.TOO_MANY_PIPELINED);
             release(pipelined.removeLast().heldBytes());
             closeInput();
         }
@@ -245,7 +245,7 @@
 
     /** Refuses the request that is being read, in its turn. */
     private void refuse(Refusal reason, int status) {
-        resources.count(reason);
+        count(reason);
         HttpExchange refused = new HttpExchange(this, reading, RequestBody.NO_BYTES, status);
         closeInput();
         enqueue(refused);
@@ -276,7 +276,7 @@
         if (reading != null) {
             refuse(Refusal.OUT_OF_MEMORY, SERVICE_UNAVAILABLE);
         } else {
-            resources.count(Refusal.OUT_OF_MEMORY);
+            count(Refusal.OUT_OF_MEMORY);
             closeInputAndThenConnection();
         }
     }
@@ -284,8 +284,7 @@
     /** Frees {@link #sheddableBytes}, because the memory of all connections is used up. */
     void shed() {
         if (outputBytes >= sheddableInputBytes()) {
-            resources.count(Refusal.ANSWER_NOT_READ);
-            terminate();
+            closeUnread(Refusal.ANSWER_SHED);
             return;
         }
         HttpExchange firstWaiting = pipelined.peek();
@@ -299,7 +298,7 @@
             unparsedBytes = 0;
             return;
         }
-        resources.count(Refusal.OUT_OF_MEMORY);
+        count(Refusal.OUT_OF_MEMORY);
         closeInput();
         enqueue(firstWaiting.refusedWith(SERVICE_UNAVAILABLE));
     }
@@ -351,6 +350,23 @@
         }
     }
 
+    private void count(Refusal reason) {
+        resources.count(server.port(), reason);
+    }
+
+    private void closeUnread(Refusal reason) {
+        String client = String.valueOf(connection.getPeerAddress());
+        resources.countClosed(
+                new UnreadAnswer(
+                        client,
+                        server.port(),
+                        reason,
+                        ((NIOConnection) connection).getAsyncWriteQueue().spaceInBytes(),
+                        outputBytes,
+                        server.now() - outputChangedAtMs));
+        terminate();
+    }
+
     /** Compares the bytes that wait to be written with those that are counted. */
     void updateOutput(long nowMs) {
         if (isClosed) {
@@ -430,14 +446,13 @@
         updateOutput(nowMs);
         boolean isUnread = outputBytes > 0 && nowMs - outputChangedAtMs > maxIdleMs;
         if (isUnread) {
-            resources.count(Refusal.ANSWER_NOT_READ);
-            terminate();
+            closeUnread(Refusal.ANSWER_NOT_READ);
         } else if (lingeringSinceMs != NOT_LINGERING) {
             if (nowMs - lingeringSinceMs > LINGER_MS) {
                 terminate();
             }
         } else if (nowMs - receivingSinceMs > maxReceiveMs) {
-            resources.count(Refusal.REQUEST_TOO_SLOW);
+            count(Refusal.REQUEST_TOO_SLOW);
             closeInputAndThenConnection();
         } else if (nowMs - idleSinceMs() > maxIdleMs && outputBytes == 0) {
             closeIfIdle();
--- a/src/main/java/myrtleladder/http/ServerResources.java
+++ b/src/main/java/myrtleladder/http/ServerResources.java
@@ -1,10 +1,8 @@
 package myrtleladder.http;
 
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import myrtleladder.eventloop.EventLoop;
@@ -45,23 +43,17 @@
     /** Interval at which timeouts are checked. */
     private static final long SWEEP_INTERVAL_MS = 500;
 
-    /** Shortest interval between two log lines about refusals. */
-    private static final long LOG_INTERVAL_MS = 10_000;
-
     /** Number of descriptors if the machine's settings name none. */
     static final int DEFAULT_DESCRIPTORS = 1_024;
 
     private final EventLoop loop;
-    private final Consumer<String> log;
+    private final RefusalLog refusals;
     private final long heapShareBytes;
     private final int maxConnections;
     private final List<HttpServer> servers = new ArrayList<>();
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
-    private final Map<Refusal, Long> refusals = new EnumMap<>(Refusal.class);
     private long capacityBytes;
     private long heldBytes;
-    private long loggedRefusals;
-    private long loggedAtMs;
 
     /**
      * Creates the resources of a process whose heap is that of this virtual machine.
@@ -74,7 +66,7 @@
     }
 
     ServerResources(EventLoop loop, int descriptors, long heapBytes, Consumer<String> log) {
-        this.log = log;
+        this.refusals = new RefusalLog(loop.now(), log);
         this.loop = loop;
         this.heapShareBytes = heapBytes / HEAP_DIVISOR;
         this.capacityBytes = heapShareBytes;
@@ -82,7 +74,6 @@
                 Math.round((descriptors - RESERVED_DESCRIPTORS) * CLIENT_DESCRIPTOR_SHARE);
         long byMemory = heapShareBytes / BYTES_PER_CONNECTION;
         this.maxConnections = (int) Math.max(1, Math.min(byDescriptors, byMemory));
-        this.loggedAtMs = loop.now() - LOG_INTERVAL_MS;
         loop.execute(this::sweep);
     }
 
@@ -112,11 +103,17 @@
 
     /** Returns how often clients were refused for a reason. */
     public long refusals(Refusal reason) {
-        return refusals.getOrDefault(reason, 0L);
+        return refusals.count(reason);
+    }
+
+    /** Counts a client of a port that was refused. */
+    void count(int port, Refusal reason) {
+        refusals.count(port, reason);
     }
 
-    void count(Refusal reason) {
-        refusals.merge(reason, 1L, Long::sum);
+    /** Counts a client that was closed because of an unread answer, and names it in the log. */
+    void countClosed(UnreadAnswer closed) {
+        refusals.countClosed(closed, loop.now());
     }
 
     /**
@@ -125,7 +122,7 @@
      */
     void connected(ServerConnection connection) {
         if (connections.size() >= maxConnections) {
-            count(Refusal.TOO_MANY_CONNECTIONS);
+            count(connection.server().port(), Refusal.TOO_MANY_CONNECTIONS);
             ServerConnection victim = longestWithoutService();
             if (victim == null) {
                 connection.terminate();
@@ -221,7 +218,7 @@
             server.closeExpired();
         }
         updateCapacity();
-        logRefusals();
+        refusals.writeSummary(usage(), loop.now());
     }
 
     private void updateCapacity() {
@@ -232,21 +229,8 @@
         capacityBytes = Math.max(heapShareBytes, Math.round(largestBody * LARGEST_BODIES));
     }
 
-    private void logRefusals() {
-        long total = refusals.values().stream().mapToLong(Long::longValue).sum();
-        long nowMs = loop.now();
-        if (total == loggedRefusals || nowMs - loggedAtMs < LOG_INTERVAL_MS) {
-            return;
-        }
-        loggedRefusals = total;
-        loggedAtMs = nowMs;
-        log.accept(
-                "clients refused since the start: %s; %d connections of %d, %d bytes of %d"
-                        .formatted(
-                                refusals,
-                                connections.size(),
-                                maxConnections,
-                                heldBytes,
-                                capacityBytes));
+    private String usage() {
+        return "%d connections of %d, %d bytes of %d"
+                .formatted(connections.size(), maxConnections, heldBytes, capacityBytes);
     }
 }
--- a/src/test/java/myrtleladder/http/ServerResourcesTest.java
+++ b/src/test/java/myrtleladder/http/ServerResourcesTest.java
@@ -1,30 +1,19 @@
 package myrtleladder.http;
 
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import myrtleladder.eventloop.EventLoop;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** What a server refuses, whom it closes, and that everything reserved is given back. */
 @Timeout(60)
-class ServerResourcesTest {
-    private static final String HOST = "127.0.0.1";
+class ServerResourcesTest extends HttpServerTestCase {
     private static final int MAX_BODY_BYTES = 1_024 * 1_024;
     private static final RequestLimits LIMITS =
             new RequestLimits(16_384, MAX_BODY_BYTES, 30_000, 30_000);
@@ -38,104 +27,14 @@
     /** With these a process may have three connections. */
     private static final int FEW_DESCRIPTORS = 204;
 
-    private static final int CLIENT_TIMEOUT_MS = 10_000;
-    private static final byte[] NO_BYTES = {};
-
-    private final LinkedBlockingQueue<String> handled = new LinkedBlockingQueue<>();
-    private EventLoop loop;
-    private ServerResources resources;
-    private HttpServer server;
-    private int port;
-
-    @BeforeEach
-    void start() {
-        loop = new EventLoop();
-        loop.start();
-    }
-
-    @AfterEach
-    void stop() {
-        loop.stop();
-    }
-
     private void serve(long heapBytes, int descriptors, Consumer<ServerExchange> handler)
             throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            port = free.getLocalPort();
-        }
-        resources = new ServerResources(loop, descriptors, heapBytes, line -> {});
-        Consumer<ServerExchange> recording =
-                exchange -> {
-                    handled.add(exchange.head().target());
-                    handler.accept(exchange);
-                };
-        server = new HttpServer(loop, HOST, port, () -> LIMITS, resources, recording);
-        await(() -> resources.capacityBytes() > MAX_BODY_BYTES);
-    }
-
-    private static void answer(ServerExchange exchange) {
-        exchange.respond(200, new Headers(), NO_BYTES);
-    }
-
-    private Socket connect() throws IOException {
-        Socket socket = new Socket(HOST, port);
-        socket.setSoTimeout(CLIENT_TIMEOUT_MS);
-        return socket;
-    }
-
-    private static void send(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(ISO_8859_1));
-    }
-
-    private static String post(String target, int length, int sent) {
-        return "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n".formatted(target, length)
-                + "b".repeat(sent);
-    }
-
-    private static String get(String target) {
-        return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
-    }
-
-    /** Reads until the connection ends. */
-    private static String readAll(Socket socket) throws IOException {
-        return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
-    }
-
-    private static String readHead(Socket socket) throws IOException {
-        InputStream in = socket.getInputStream();
-        StringBuilder text = new StringBuilder();
-        while (text.indexOf("\r\n\r\n") < 0) {
-            int next = in.read();
-            if (next < 0) {
-                throw new IOException("ended after: " + text);
-            }
-            text.append((char) next);
-        }
-        return text.toString();
-    }
-
-    /** Waits until a condition holds on the event loop. */
-    private void await(BooleanSupplier condition) {
-        CompletableFuture<Void> holds = new CompletableFuture<>();
-        loop.execute(() -> check(condition, holds));
-        holds.orTimeout(CLIENT_TIMEOUT_MS, TimeUnit.MILLISECONDS).join();
-    }
-
-    private void check(BooleanSupplier condition, CompletableFuture<Void> holds) {
-        if (condition.getAsBoolean()) {
-            holds.complete(null);
-        } else {
-            loop.schedule(10, () -> check(condition, holds));
-        }
-    }
-
-    private void awaitNothingHeld() {
-        await(() -> resources.heldBytes() == 0 && resources.connections() == 0);
+        serve(LIMITS, heapBytes, descriptors, handler);
     }
 
     @Test
     void bodyOverTheLimitIsRefusedByItsLengthAndNotReadAsARequest() throws IOException {
-        serve(LARGE_HEAP_BYTES, MANY_DESCRIPTORS, ServerResourcesTest::answer);
+        serve(LARGE_HEAP_BYTES, MANY_DESCRIPTORS, HttpServerTestCase::answer);
         try (Socket socket = connect()) {
             send(socket, post("/large", MAX_BODY_BYTES + 1, 0));
             assertTrue(readHead(socket).startsWith("HTTP/1.1 413 "));
@@ -149,7 +48,7 @@
 
     @Test
     void chunkedBodyOverTheLimitIsRefused() throws IOException {
-        serve(LARGE_HEAP_BYTES, MANY_DESCRIPTORS, ServerResourcesTest::answer);
+        serve(LARGE_HEAP_BYTES, MANY_DESCRIPTORS, HttpServerTestCase::answer);
         try (Socket socket = connect()) {
             send(socket, "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
             send(socket, "110000\r\n" + "c".repeat(0x110000) + "\r\n" + get("/smuggled"));
@@ -161,7 +60,7 @@
 
     @Test
     void headOverTheLimitIsRefused() throws IOException {
-        serve(LARGE_HEAP_BYTES, MANY_DESCRIPTORS, ServerResourcesTest::answer);
+        serve(LARGE_HEAP_BYTES, MANY_DESCRIPTORS, HttpServerTestCase::answer);
         String field = "X-Field: " + "v".repeat(20_000) + "\r\n";
         try (Socket socket = connect()) {
             send(socket, "GET /head HTTP/1.1\r\nHost: h\r\n" + field + "\r\n");
@@ -173,7 +72,7 @@
 
     @Test
     void largestBodyIsServedAlone() throws IOException {
-        serve(HEAP_BYTES, MANY_DESCRIPTORS, ServerResourcesTest::answer);
+        serve(HEAP_BYTES, MANY_DESCRIPTORS, HttpServerTestCase::answer);
         for (int i = 0; i < 3; i++) {
             try (Socket socket = connect()) {
                 send(socket, post("/largest", MAX_BODY_BYTES, MAX_BODY_BYTES));
@@ -185,7 +84,7 @@
 
     @Test
     void incompleteBodyThatHoldsMostForLongestIsRefusedWith503() throws IOException {
-        serve(HEAP_BYTES, MANY_DESCRIPTORS, ServerResourcesTest::answer);
+        serve(HEAP_BYTES, MANY_DESCRIPTORS, HttpServerTestCase::answer);
         try (Socket first = connect();
                 Socket second = connect()) {
             send(first, post("/first", MAX_BODY_BYTES, MAX_BODY_BYTES - 10));
@@ -267,7 +166,7 @@
                 exchange -> exchange.respond(200, new Headers(), large.clone()));
         try (Socket socket = connect()) {
             send(socket, get("/a").repeat(10));
-            await(() -> resources.refusals(Refusal.ANSWER_NOT_READ) == 1);
+            await(() -> resources.refusals(Refusal.ANSWER_SHED) == 1);
             awaitNothingHeld();
         }
     }
@@ -289,7 +188,7 @@
 
     @Test
     void connectionsThatNeverSentARequestGiveWayToNewOnes() throws IOException {
-        serve(LARGE_HEAP_BYTES, FEW_DESCRIPTORS, ServerResourcesTest::answer);
+        serve(LARGE_HEAP_BYTES, FEW_DESCRIPTORS, HttpServerTestCase::answer);
         try (Socket used = connect()) {
             send(used, get("/one"));
             assertTrue(readHead(used).startsWith("HTTP/1.1 200 "));
