Count an unread answer by its bytes and writes, not 257 times

Cause: ServerConnection added 256 bytes for each element of the write queue and took the number from TaskQueue.size(), which returns the bytes. A byte that the socket had not taken counted as 257, so 93 KB were all the memory for clients of a process with -Xmx96m, and the connection was shed.

So that small answers can't pile up, a pipelined request begins when the socket has taken the answers before it; a connection has one answer and 16 requests at most.

--- a/src/main/java/myrtleladder/http/HttpExchange.java
+++ b/src/main/java/myrtleladder/http/HttpExchange.java
@@ -1,11 +1,7 @@
 package myrtleladder.http;
 
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.http.HttpContent;
-import org.glassfish.grizzly.http.HttpPacket;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
@@ -123,9 +119,9 @@
         response.setContentLength(answer.length);
         transitionTo(State.ENDED);
         if (answer.length > HttpConnection.MAX_COMBINED_BODY_BYTES) {
-            write(response, false);
+            owner.write(response, false);
         }
-        write(
+        owner.write(
                 HttpContent.builder(response)
                         .content(wrap(answer, 0, answer.length))
                         .last(true)
@@ -151,7 +147,7 @@
     @Override
     public void write(byte[] bytes, int offset, int length) {
         if (state == State.STREAMING && length > 0) {
-            write(
+            owner.write(
                     HttpContent.builder(response).content(wrap(bytes, offset, length)).build(),
                     false);
         }
@@ -164,7 +160,7 @@
         }
         transitionTo(State.ENDED);
         boolean keep = !"close".equalsIgnoreCase(response.getHeader("Connection")) && !mustClose();
-        write(
+        owner.write(
                 HttpContent.builder(response).content(wrap(NO_BYTES, 0, 0)).last(true).build(),
                 !keep);
         owner.answered(this, keep);
@@ -259,24 +255,4 @@
     private static Buffer wrap(byte[] bytes, int offset, int length) {
         return length == 0 ? Buffers.EMPTY_BUFFER : Buffers.wrap(null, bytes, offset, length);
     }
-
-    private void write(HttpPacket packet, boolean thenClose) {
-        if (thenClose) {
-            writeAndClose(owner.connection(), packet);
-        } else {
-            owner.connection().write(packet);
-        }
-        owner.onWritten();
-    }
-
-    private <L> void writeAndClose(Connection<L> connection, HttpPacket packet) {
-        connection.write(
-                packet,
-                new EmptyCompletionHandler<WriteResult<HttpPacket, L>>() {
-                    @Override
-                    public void completed(WriteResult<HttpPacket, L> result) {
-                        owner.onLastAnswerWritten();
-                    }
-                });
-    }
 }
--- a/src/main/java/myrtleladder/http/HttpServer.java
+++ b/src/main/java/myrtleladder/http/HttpServer.java
@@ -171,6 +171,10 @@
         return loop.now();
     }
 
+    void execute(Runnable task) {
+        loop.execute(task);
+    }
+
     void reportDefect(String description, Throwable defect) {
         loop.reportDefect(description, defect);
     }
--- a/src/main/java/myrtleladder/http/ServerConnection.java
+++ b/src/main/java/myrtleladder/http/ServerConnection.java
@@ -6,13 +6,16 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpPacket;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * A client's connection: the request that is being read, the one that is being answered, and the
- * pipelined ones behind it, which are answered in order (RFC 9112, section 9.3.2).
+ * pipelined ones behind it, which are answered in order (RFC 9112, section 9.3.2). A pipelined
+ * request begins when the socket has taken the answers before it, so that a client that does not
+ * read can't pile up answers.
  *
  * <p>A request that is refused before it was read is answered in its turn; what the client sends
  * behind it is discarded, and the connection closes a while after the answer, so that the client
@@ -32,7 +35,7 @@
     /** When a client that is refused for lack of memory may try again. */
     private static final String RETRY_AFTER_SECONDS = "0.500";
 
-    /** Pipelined requests behind the current one; with more the input is closed. */
+    /** Pipelined requests that wait for answers before them; with more the input is closed. */
     private static final int MAX_PIPELINED = 16;
 
     /** How long the client may read the last answer while its further input is discarded. */
@@ -41,9 +44,6 @@
     /** Memory of a parsed head in proportion to its size: the bytes, and the fields as texts. */
     private static final int HEAD_MEMORY_FACTOR = 3;
 
-    /** Memory of a response that waits to be written, besides its bytes. */
-    private static final int PENDING_WRITE_OVERHEAD_BYTES = 256;
-
     /** Value of {@link #receivingSinceMs} while no request is incomplete. */
     private static final long NOT_RECEIVING = Long.MAX_VALUE;
 
@@ -53,6 +53,7 @@
     private final HttpServer server;
     private final ServerResources resources;
     private final Connection<?> connection;
+    private final OutputBacklog output;
     private final ArrayDeque<HttpExchange> pipelined = new ArrayDeque<>();
     private HttpRequestPacket reading;
     private RequestBody body = new RequestBody();
@@ -74,13 +75,14 @@
     /** Reservation for the head of the request that is being read. */
     private long headBytes;
 
-    /** Bytes of responses that the client's side has not taken yet. */
+    /** Memory of responses that the client's side has not taken yet. */
     private long outputBytes;
 
     ServerConnection(HttpServer server, Connection<?> connection) {
         this.server = server;
         this.resources = server.resources();
         this.connection = connection;
+        this.output = new OutputBacklog(connection);
         this.idleSinceMs = server.now();
     }
 
@@ -199,11 +201,8 @@
     }
 
     private void enqueue(HttpExchange exchange) {
-        if (current == null) {
-            begin(exchange);
-            return;
-        }
         pipelined.add(exchange);
+        beginNext();
         if (pipelined.size() > MAX_PIPELINED) {
             count(Refusal.TOO_MANY_PIPELINED);
             release(pipelined.removeLast().heldBytes());
@@ -211,6 +210,13 @@
         }
     }
 
+    /** Begins the next request if the ones before it are answered and their answers taken. */
+    private void beginNext() {
+        if (current == null && !isClosed && output.isEmpty() && !pipelined.isEmpty()) {
+            begin(pipelined.poll());
+        }
+    }
+
     private void begin(HttpExchange exchange) {
         current = exchange;
         if (!exchange.isWellFormed()) {
@@ -263,7 +269,7 @@
 
     private void closeInputAndThenConnection() {
         closeInput();
-        if (current == null) {
+        if (!hasUnanswered()) {
             terminate();
         }
     }
@@ -361,25 +367,18 @@
                         client,
                         server.port(),
                         reason,
-                        ((NIOConnection) connection).getAsyncWriteQueue().spaceInBytes(),
+                        output.waitingBytes(),
                         outputBytes,
                         server.now() - outputChangedAtMs));
         terminate();
     }
 
-    /** Compares the bytes that wait to be written with those that are counted. */
+    /** Compares the memory of what waits to be written with what is counted. */
     void updateOutput(long nowMs) {
         if (isClosed) {
             return;
         }
-        var queue = ((NIOConnection) connection).getAsyncWriteQueue();
-        long waiting = queue.spaceInBytes();
-        if (waiting == 0 && outputBytes == 0) {
-            return;
-        }
-        if (waiting > 0) {
-            waiting += (long) PENDING_WRITE_OVERHEAD_BYTES * queue.size();
-        }
+        long waiting = output.heldBytes();
         if (waiting != outputBytes) {
             outputChangedAtMs = nowMs;
             heldBytes += waiting - outputBytes;
@@ -388,11 +387,19 @@
         }
     }
 
-    /** Called when bytes of a response were handed to the connection. */
-    void onWritten() {
+    /** Writes a part of a response; {@code isLast} closes the connection behind it. */
+    void write(HttpPacket packet, boolean isLast) {
+        output.write(packet, isLast ? this::onLastAnswerWritten : this::onWritten);
         updateOutput(server.now());
     }
 
+    /** Goes on later, since the library is within its own write here. */
+    private void onWritten() {
+        if (!pipelined.isEmpty()) {
+            server.execute(this::beginNext);
+        }
+    }
+
     void answered(HttpExchange exchange, boolean keep) {
         if (exchange != current) {
             return;
@@ -404,14 +411,10 @@
         if (!keep) {
             return;
         }
-        HttpExchange next = pipelined.poll();
-        if (next != null) {
-            begin(next);
-        }
+        beginNext();
     }
 
-    /** Called when the last answer of this connection has been written. */
-    void onLastAnswerWritten() {
+    private void onLastAnswerWritten() {
         if (!isInputClosed) {
             connection.closeSilently();
             return;
@@ -467,11 +470,15 @@
         return idleSinceMs < other.idleSinceMs;
     }
 
-    /** Returns whether a complete request has not been answered. */
+    /** Returns whether a request is being answered; one that waits behind others is not. */
     boolean isAnswerDue() {
         return current != null;
     }
 
+    private boolean hasUnanswered() {
+        return current != null || hasPipelined();
+    }
+
     /** Returns whether a pipelined request waits behind the current one. */
     boolean hasPipelined() {
         return !pipelined.isEmpty();
@@ -483,7 +490,7 @@
     }
 
     boolean isIdle() {
-        return current == null && receivingSinceMs == NOT_RECEIVING;
+        return !hasUnanswered() && receivingSinceMs == NOT_RECEIVING;
     }
 
     long idleSinceMs() {
--- a/src/test/java/myrtleladder/exhaustion/ControlPortExhaustionTest.java
+++ b/src/test/java/myrtleladder/exhaustion/ControlPortExhaustionTest.java
@@ -9,6 +9,10 @@
 /** Misbehaving callers at the port of a control process for operators and upstreams. */
 class ControlPortExhaustionTest extends ExhaustionTestCase {
     private static final int CROWD = 60;
+
+    /** More than any socket buffer takes. */
+    private static final int UNREAD_ANSWERS = 1_000_000;
+
     private static final String TARGET = "/config";
 
     @Test
@@ -51,6 +55,16 @@
         assertServesBeside(control(), Payload.incompleteBehindWhole(TARGET, MAX_BODY_BYTES), CROWD);
     }
 
+    @Test
+    void unreadSmallAnswers() throws Exception {
+        assertServesBesideUnread(control(), Payload.pipelined(TARGET, 1, UNREAD_ANSWERS), CROWD);
+    }
+
+    @Test
+    void unreadConfigurations() throws Exception {
+        assertServesBesideUnread(control(), Payload.pipelinedReads(TARGET, UNREAD_ANSWERS), CROWD);
+    }
+
     @Test
     void silentConnections() throws Exception {
         assertServesBeside(control(), Payload.silence(), MACHINE_DESCRIPTORS + 200);
--- a/src/test/java/myrtleladder/exhaustion/FrontendExhaustionTest.java
+++ b/src/test/java/myrtleladder/exhaustion/FrontendExhaustionTest.java
@@ -13,6 +13,12 @@
 class FrontendExhaustionTest extends ExhaustionTestCase {
     private static final int CROWD = 60;
 
+    /** More than any socket buffer takes. */
+    private static final int UNREAD_ANSWERS = 1_000_000;
+
+    /** Path of no route: the balancer answers such requests itself. */
+    private static final String UNKNOWN_TARGET = "/none";
+
     @Test
     void incompleteHeads() throws Exception {
         assertServesBeside(frontend(), Payload.incompleteHead(60_000), 400);
@@ -88,6 +94,12 @@
         assertServesBesideUnread(frontend(), Payload.pipelined(LARGE_ANSWER_TARGET, 1, 12), CROWD);
     }
 
+    @Test
+    void unreadSmallAnswers() throws Exception {
+        assertServesBesideUnread(
+                frontend(), Payload.pipelined(UNKNOWN_TARGET, 1, UNREAD_ANSWERS), CROWD);
+    }
+
     @Test
     void silentConnections() throws Exception {
         assertServesBeside(frontend(), Payload.silence(), MACHINE_DESCRIPTORS + 200);
--- a/src/test/java/myrtleladder/exhaustion/Payload.java
+++ b/src/test/java/myrtleladder/exhaustion/Payload.java
@@ -83,6 +83,11 @@
         return new Payload(new byte[0], request(target, bodySize, bodySize), requests);
     }
 
+    /** Several reads sent without waiting for an answer. */
+    static Payload pipelinedReads(String target, int requests) {
+        return repeated("", "GET " + target + " HTTP/1.1\r\n" + HOST_FIELD + "\r\n", requests);
+    }
+
     /** A whole request and, behind it, one whose body stops short of its end. */
     static Payload incompleteBehindWhole(String target, int size) {
         byte[] first = request(target, 1, 1);
--- a/src/test/java/myrtleladder/http/HttpServerTestCase.java
+++ b/src/test/java/myrtleladder/http/HttpServerTestCase.java
@@ -18,7 +18,7 @@
 
 /** A server on an event loop of its own, and clients with plain sockets. */
 abstract class HttpServerTestCase {
-    private static final String HOST = "127.0.0.1";
+    static final String HOST = "127.0.0.1";
     private static final int CLIENT_TIMEOUT_MS = 10_000;
     static final byte[] NO_BYTES = {};
 
