--- a/src/main/java/myrtleladder/http/UnreadAnswer.java
+++ b/src/main/java/myrtleladder/http/UnreadAnswer.java
@@ -19,7 +19,8 @@
         long sinceTakenMs) {
     /** Returns a line for the log. */
     String describe() {
-        return "closed client %s at port %d (%s): %d bytes of its answers wait and count as %d; last change %d ms ago"
+        String size = "%d bytes of its answers wait and count as %d";
+        return ("closed client %s at port %d (%s): " + size + "; last change %d ms ago")
                 .formatted(client, port, reason, waitingBytes, heldBytes, sinceTakenMs);
     }
 }
